--- a/bench/capacity/call_slopes.cpp
+++ b/bench/capacity/call_slopes.cpp
@@ -5,8 +5,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "bench/capacity/slopes.h"
-#include "platform/http_host_directory.h"
-#include "platform/http_worker_control.h"
+#include "external/http_host_directory.h"
+#include "external/http_worker_control.h"
 #include "transport/http_server.h"
 
 namespace camphorsaddle::bench {
@@ -89,7 +89,7 @@
         const text_server server(text);
         transport::event_loop loop;
         const auto client = transport::http_client::create(loop);
-        platform::http_worker_control workers(*client, callTimeout);
+        external::http_worker_control workers(*client, callTimeout);
         model::host worker;
         worker.url = server.url();
         const double cost = costOf(loop, [&] { workers.renew(worker, { "batch/dub-1/0", 1, utils::milliseconds(20000), {} }, [&](const auto&) { loop.stop(); }); });
@@ -101,7 +101,7 @@
         const text_server server(text);
         transport::event_loop loop;
         const auto client = transport::http_client::create(loop);
-        platform::http_host_directory directory(*client, server.url(), callTimeout);
+        external::http_host_directory directory(*client, server.url(), callTimeout);
         const double cost = costOf(loop, [&] { directory.hosts([&](const auto&) { loop.stop(); }); });
         points.push_back({ "host list poll", "us/poll", "hosts", static_cast<double>(hosts), cost });
         points.push_back({ "host list body", "B/poll", "hosts", static_cast<double>(hosts), static_cast<double>(text.size()) });
--- a/bench/configuration/deployment_model.cpp
+++ b/bench/configuration/deployment_model.cpp
@@ -153,7 +153,7 @@
     auto& target = *m_daemons[index];
     for (const auto& action : actions) {
         if (std::holds_alternative<configuration::read_record>(action)) {
-            readStore(index, [this, index](const absl::StatusOr<stored_record>& stored, platform::revision revision) {
+            readStore(index, [this, index](const absl::StatusOr<stored_record>& stored, external::revision revision) {
                 const auto record = stored.ok() ? absl::StatusOr<settings::configuration_record>(stored->record) : stored.status();
                 perform(index, m_daemons[index]->decisions->onRead(record, revision, m_now));
             });
@@ -195,11 +195,11 @@
     });
 }
 
-void deployment_model::readStore(std::size_t index, std::function<void(absl::StatusOr<stored_record>, platform::revision)> answer)
+void deployment_model::readStore(std::size_t index, std::function<void(absl::StatusOr<stored_record>, external::revision)> answer)
 {
     struct reading {
         stored_record record;
-        platform::revision at = 0;
+        external::revision at = 0;
     };
     const auto seen = std::make_shared<reading>();
     callStore(
@@ -217,10 +217,10 @@
         });
 }
 
-void deployment_model::watchStore(std::size_t index, platform::revision after)
+void deployment_model::watchStore(std::size_t index, external::revision after)
 {
     const auto hasEnded = std::make_shared<bool>(false);
-    const auto finish = [this, index, hasEnded](const absl::StatusOr<platform::revision>& revision, const std::shared_ptr<settings::configuration_record>& changed) {
+    const auto finish = [this, index, hasEnded](const absl::StatusOr<external::revision>& revision, const std::shared_ptr<settings::configuration_record>& changed) {
         if (!std::exchange(*hasEnded, true))
             perform(index, m_daemons[index]->decisions->onWatched(revision, changed.get(), m_now));
     };
@@ -228,7 +228,7 @@
     at(m_now + between(5, 40) + m_storeDelay / 2, [this, index, after, finish, start = m_daemons[index]->start] {
         if (m_daemons[index]->start != start)
             return;
-        registerWatch(index, after, [this, index, finish](const absl::StatusOr<platform::revision>& revision, bool hasChange) {
+        registerWatch(index, after, [this, index, finish](const absl::StatusOr<external::revision>& revision, bool hasChange) {
             const auto changed = hasChange ? std::make_shared<settings::configuration_record>(m_stored.record) : nullptr;
             if (hasChange)
                 m_traffic.storeBytes += sizeOf(m_stored.record);
@@ -237,7 +237,7 @@
     });
 }
 
-void deployment_model::registerWatch(std::size_t index, platform::revision after, const std::function<void(absl::StatusOr<platform::revision>, bool)>& answer)
+void deployment_model::registerWatch(std::size_t index, external::revision after, const std::function<void(absl::StatusOr<external::revision>, bool)>& answer)
 {
     ++m_traffic.watches;
     if (isStoreDown()) {
@@ -256,7 +256,7 @@
     });
 }
 
-void deployment_model::answerWaiters(const std::function<bool(const waiter&)>& isDue, const absl::StatusOr<platform::revision>& revision, bool hasChange)
+void deployment_model::answerWaiters(const std::function<bool(const waiter&)>& isDue, const absl::StatusOr<external::revision>& revision, bool hasChange)
 {
     std::vector<waiter> due;
     std::erase_if(m_waiters, [&](const auto& entry) {
@@ -268,7 +268,7 @@
         one.answer(revision, hasChange);
 }
 
-absl::StatusOr<platform::revision> deployment_model::writeStore(const configuration::write_record& request)
+absl::StatusOr<external::revision> deployment_model::writeStore(const configuration::write_record& request)
 {
     ++m_traffic.storeWrites;
     m_traffic.storeBytes += sizeOf(request.record);
@@ -327,15 +327,15 @@
         return;
     }
     if (const auto* write = std::get_if<configuration::write_record>(&step)) {
-        const auto result = std::make_shared<absl::StatusOr<platform::revision>>(platform::revision { 0 });
+        const auto result = std::make_shared<absl::StatusOr<external::revision>>(external::revision { 0 });
         callStore(
             daemon, [this, result, request = *write] { *result = writeStore(request); },
             [this, result, submission, process](const absl::Status& status) {
-                performEdit(submission, process, process->onWritten(status.ok() ? *result : absl::StatusOr<platform::revision>(status), m_now));
+                performEdit(submission, process, process->onWritten(status.ok() ? *result : absl::StatusOr<external::revision>(status), m_now));
             });
         return;
     }
-    readStore(daemon, [this, submission, process](const absl::StatusOr<stored_record>& stored, platform::revision) {
+    readStore(daemon, [this, submission, process](const absl::StatusOr<stored_record>& stored, external::revision) {
         performEdit(submission, process, process->onRead(stored, m_now, utils::wall_time_point(std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()))));
     });
 }
--- a/bench/configuration/deployment_model.h
+++ b/bench/configuration/deployment_model.h
@@ -108,8 +108,8 @@
 
     struct waiter {
         std::size_t daemon = 0;
-        platform::revision after = 0;
-        std::function<void(absl::StatusOr<platform::revision>, bool)> answer;
+        external::revision after = 0;
+        std::function<void(absl::StatusOr<external::revision>, bool)> answer;
     };
 
     using store_answer = std::function<void(const absl::Status&)>;
@@ -126,11 +126,11 @@
     void beat(std::size_t index);
     void perform(std::size_t index, const configuration::spread_actions& actions);
     void callStore(std::size_t index, std::function<void()> effect, store_answer answer);
-    void readStore(std::size_t index, std::function<void(absl::StatusOr<configuration::stored_record>, platform::revision)> answer);
-    void watchStore(std::size_t index, platform::revision after);
-    void registerWatch(std::size_t index, platform::revision after, const std::function<void(absl::StatusOr<platform::revision>, bool)>& answer);
-    absl::StatusOr<platform::revision> writeStore(const configuration::write_record& request);
-    void answerWaiters(const std::function<bool(const waiter&)>& isDue, const absl::StatusOr<platform::revision>& at, bool hasChange);
+    void readStore(std::size_t index, std::function<void(absl::StatusOr<configuration::stored_record>, external::revision)> answer);
+    void watchStore(std::size_t index, external::revision after);
+    void registerWatch(std::size_t index, external::revision after, const std::function<void(absl::StatusOr<external::revision>, bool)>& answer);
+    absl::StatusOr<external::revision> writeStore(const configuration::write_record& request);
+    void answerWaiters(const std::function<bool(const waiter&)>& isDue, const absl::StatusOr<external::revision>& at, bool hasChange);
     void sendRecord(std::size_t from, const std::string& receiver);
     void performEdit(std::size_t submission, const std::shared_ptr<configuration::edit_process>& process, const configuration::edit_step& step);
     std::uint64_t sizeOf(const settings::configuration_record& record);
@@ -140,7 +140,7 @@
     std::multimap<utils::time_point, std::function<void()>> m_events;
     std::vector<std::unique_ptr<daemon>> m_daemons;
     configuration::stored_record m_stored;
-    platform::revision m_storeRevision = 0;
+    external::revision m_storeRevision = 0;
     std::map<std::uint64_t, waiter> m_waiters;
     std::uint64_t m_nextWaiter = 0;
     utils::milliseconds m_storeDelay { 0 };
--- a/bench/state/journal_model.cpp
+++ b/bench/state/journal_model.cpp
@@ -84,7 +84,7 @@
 
     standins::fake_store store;
     utils::metric_registry metrics;
-    platform::guarded_store guard;
+    external::guarded_store guard;
     journal::write_budget budget;
 };
 
--- a/bench/state/journal_model.h
+++ b/bench/state/journal_model.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "external/guarded_store.h"
 #include "journal/log.h"
-#include "platform/guarded_store.h"
 #include "standins/fake_store.h"
 
 namespace camphorsaddle::bench {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "app/commands.h"
+#include "platform/platform_deployment.h"
 
 namespace {
 
@@ -15,6 +16,9 @@
     { "job", app::runJob },
     { "status", app::runStatus },
     { "token", app::runToken },
+    { "platform", [](const app::arguments&) {
+         return platform::runOnPlatform();
+     } },
 };
 
 int printUsage(std::ostream& output, int code)
@@ -25,7 +29,8 @@
               "  config  get, submit, status, history of the operators' configuration\n"
               "  job     submit, status, cancel, list of batch jobs\n"
               "  status  members and shards\n"
-              "  token   hash of a team's token\n\n"
+              "  token   hash of a team's token\n"
+              "  platform  run a daemon on the users' platform\n\n"
               "camphorsaddle COMMAND --help lists the options of a command.\n"
               "CAMPHORSADDLE_TOKEN holds the token for commands that call a daemon.\n"
               "Exit codes: 0 done, 1 refused or failed, 2 wrong usage.\n";
--- a/src/libs/configuration/edit_process.cpp
+++ b/src/libs/configuration/edit_process.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-absl::StatusOr<stored_record> parseStored(const absl::StatusOr<platform::key_value>& answer)
+absl::StatusOr<stored_record> parseStored(const absl::StatusOr<external::key_value>& answer)
 {
     if (!answer.ok())
         return answer.status();
@@ -66,7 +66,7 @@
     return write_record { std::move(result.record), stored.version };
 }
 
-edit_step edit_process::onWritten(const absl::StatusOr<platform::revision>& written, utils::time_point now)
+edit_step edit_process::onWritten(const absl::StatusOr<external::revision>& written, utils::time_point now)
 {
     if (written.ok())
         return edit_outcome { edit_end::Accepted, m_written, m_writtenRevision, {}, {}, {} };
--- a/src/libs/configuration/edit_process.h
+++ b/src/libs/configuration/edit_process.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 #include "settings/configuration_record.h"
 
 namespace camphorsaddle::configuration {
@@ -13,13 +13,13 @@
 //! \brief The record as the store holds it; version 0 and an empty record when there is none.
 struct stored_record {
     settings::configuration_record record;
-    platform::revision version = 0;
+    external::revision version = 0;
 
     auto operator<=>(const stored_record&) const = default;
 };
 
 //! \brief Reads the store's answer; DataLoss when its value is no record, else the answer's own error.
-absl::StatusOr<stored_record> parseStored(const absl::StatusOr<platform::key_value>& answer);
+absl::StatusOr<stored_record> parseStored(const absl::StatusOr<external::key_value>& answer);
 
 enum class edit_end {
     Accepted,
@@ -50,7 +50,7 @@
 
 struct write_record {
     settings::configuration_record record;
-    platform::revision expectedVersion = 0;
+    external::revision expectedVersion = 0;
 };
 
 //! \brief What the owner of an edit does next.
@@ -69,7 +69,7 @@
     //! \brief The answer to read_record; NotFound means that nothing is stored.
     edit_step onRead(const absl::StatusOr<stored_record>& stored, utils::time_point now, utils::wall_time_point wallNow);
     //! \brief The answer to write_record.
-    edit_step onWritten(const absl::StatusOr<platform::revision>& written, utils::time_point now);
+    edit_step onWritten(const absl::StatusOr<external::revision>& written, utils::time_point now);
 
 private:
     edit_step decide(const stored_record& stored, utils::wall_time_point wallNow);
@@ -78,7 +78,7 @@
     settings::configuration_edit m_edit;
     utils::time_point m_deadline;
     settings::configuration_record m_written;
-    platform::revision m_writtenOver = 0;
+    external::revision m_writtenOver = 0;
     std::uint64_t m_writtenRevision = 0;
     //! A former write has no answer and may be in the store, or may yet reach it.
     bool m_mayBeWritten = false;
--- a/src/libs/configuration/spread.cpp
+++ b/src/libs/configuration/spread.cpp
@@ -37,7 +37,7 @@
     return actions;
 }
 
-spread_actions spread::onRead(const absl::StatusOr<settings::configuration_record>& stored, platform::revision at, utils::time_point now)
+spread_actions spread::onRead(const absl::StatusOr<settings::configuration_record>& stored, external::revision at, utils::time_point now)
 {
     spread_actions actions;
     m_isReading = false;
@@ -73,7 +73,7 @@
         m_unreported = revision;
 }
 
-spread_actions spread::onWatched(const absl::StatusOr<platform::revision>& at, const settings::configuration_record* changed, utils::time_point now)
+spread_actions spread::onWatched(const absl::StatusOr<external::revision>& at, const settings::configuration_record* changed, utils::time_point now)
 {
     spread_actions actions;
     m_isWatching = false;
--- a/src/libs/configuration/spread.h
+++ b/src/libs/configuration/spread.h
@@ -41,7 +41,7 @@
 };
 
 struct watch_record {
-    platform::revision after = 0;
+    external::revision after = 0;
 };
 
 //! \brief Send the record in force to a peer.
@@ -88,9 +88,9 @@
     spread_actions onTick(utils::time_point now);
     //! \brief Answer to read_record; NotFound means that nothing is stored.
     //! \a at is the store's revision of the answer.
-    spread_actions onRead(const absl::StatusOr<settings::configuration_record>& stored, platform::revision at, utils::time_point now);
+    spread_actions onRead(const absl::StatusOr<settings::configuration_record>& stored, external::revision at, utils::time_point now);
     //! \brief Answer to watch_record, with the last record of the changes if there was one.
-    spread_actions onWatched(const absl::StatusOr<platform::revision>& at, const settings::configuration_record* changed, utils::time_point now);
+    spread_actions onWatched(const absl::StatusOr<external::revision>& at, const settings::configuration_record* changed, utils::time_point now);
     //! \brief A record came from a peer or was written by this daemon.
     spread_actions onRecord(const settings::configuration_record& record, record_source source, utils::time_point now);
     void onMembers(std::set<std::string> members);
@@ -123,7 +123,7 @@
     std::uint64_t m_unreported = 0;
     std::set<std::string> m_members;
     std::map<std::string, peer_state> m_peers;
-    platform::revision m_watchedRevision = 0;
+    external::revision m_watchedRevision = 0;
     utils::time_point m_readAgain;
     utils::time_point m_lastRead;
     utils::time_point m_watchAgain;
--- a/src/libs/platform/circuit_breaker.cpp
+++ b/src/libs/external/circuit_breaker.cpp
@@ -1,8 +1,8 @@
-#include "platform/circuit_breaker.h"
+#include "external/circuit_breaker.h"
 
 #include <algorithm>
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 bool circuit_breaker::admit(utils::time_point now)
 {
@@ -49,4 +49,4 @@
     m_probeAt = now + utils::milliseconds(half + static_cast<std::int64_t>(random % static_cast<std::uint64_t>(half)));
 }
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/circuit_breaker.h
+++ b/src/libs/external/circuit_breaker.h
@@ -4,7 +4,7 @@
 
 #include "utils/clock.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 struct breaker_settings {
     //! Failures in a row that open the breaker.
@@ -55,4 +55,4 @@
     utils::time_point m_probeAt;
 };
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/guarded_store.cpp
+++ b/src/libs/external/guarded_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/guarded_store.h"
+#include "external/guarded_store.h"
 
 #include <array>
 #include <map>
@@ -11,7 +11,7 @@
 #include "utils/events.h"
 #include "utils/hashing.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 namespace {
 
@@ -273,4 +273,4 @@
     return m_implementation->m_events.value(event);
 }
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/guarded_store.h
+++ b/src/libs/external/guarded_store.h
@@ -5,13 +5,13 @@
 #include <memory>
 #include <string>
 
-#include "platform/circuit_breaker.h"
-#include "platform/key_value_store.h"
-#include "platform/store_call.h"
+#include "external/circuit_breaker.h"
+#include "external/key_value_store.h"
+#include "external/store_call.h"
 #include "utils/executor.h"
 #include "utils/metrics.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 //! \brief What the guard counts beside the calls.
 enum class guard_event {
@@ -72,4 +72,4 @@
     std::shared_ptr<implementation> m_implementation;
 };
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/host_directory.h
+++ b/src/libs/external/host_directory.h
@@ -6,7 +6,7 @@
 #include "absl/status/statusor.h"
 #include "model/host.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 //! \brief The platform's lagging list of live and leaving hosts.
 class host_directory {
@@ -16,4 +16,4 @@
     virtual void hosts(std::function<void(absl::StatusOr<std::vector<model::host>>)> callback) = 0;
 };
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/http_host_directory.cpp
+++ b/src/libs/external/http_host_directory.cpp
@@ -1,9 +1,9 @@
-#include "platform/http_host_directory.h"
+#include "external/http_host_directory.h"
 
 #include "absl/strings/str_cat.h"
-#include "platform/json_http.h"
+#include "external/json_http.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 namespace {
 
@@ -67,4 +67,4 @@
     });
 }
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/http_host_directory.h
+++ b/src/libs/external/http_host_directory.h
@@ -2,10 +2,10 @@
 
 #include <string>
 
-#include "platform/host_directory.h"
+#include "external/host_directory.h"
 #include "transport/http_client.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 //! \brief Client of the platform's host list; the protocol is in docs/PLATFORM.md.
 class http_host_directory : public host_directory {
@@ -20,4 +20,4 @@
     utils::milliseconds m_timeout;
 };
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/http_key_value_store.cpp
+++ b/src/libs/external/http_key_value_store.cpp
@@ -1,11 +1,11 @@
-#include "platform/http_key_value_store.h"
+#include "external/http_key_value_store.h"
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "platform/json_http.h"
+#include "external/json_http.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 namespace {
 
@@ -206,4 +206,4 @@
     });
 }
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/http_key_value_store.h
+++ b/src/libs/external/http_key_value_store.h
@@ -3,12 +3,12 @@
 #include <memory>
 #include <string>
 
-#include "platform/key_value_store.h"
-#include "platform/store_call.h"
+#include "external/key_value_store.h"
+#include "external/store_call.h"
 #include "transport/http_client.h"
 #include "utils/metrics.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 //! \brief Client of the platform's key-value service; the protocol is in docs/PLATFORM.md.
 class http_key_value_store : public key_value_store {
@@ -36,4 +36,4 @@
     utils::reason_counters<store_call, storeCallCount> m_calls;
 };
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/http_worker_control.cpp
+++ b/src/libs/external/http_worker_control.cpp
@@ -1,11 +1,11 @@
-#include "platform/http_worker_control.h"
+#include "external/http_worker_control.h"
 
 #include <map>
 
 #include "absl/strings/str_cat.h"
-#include "platform/json_http.h"
+#include "external/json_http.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 namespace {
 
@@ -203,4 +203,4 @@
     }));
 }
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/http_worker_control.h
+++ b/src/libs/external/http_worker_control.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "platform/worker_control.h"
+#include "external/worker_control.h"
 #include "transport/http_client.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 //! \brief Client of the worker agents; the protocol is in docs/PLATFORM.md.
 class http_worker_control : public worker_control {
@@ -22,4 +22,4 @@
     utils::milliseconds m_timeout;
 };
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/json_http.cpp
+++ b/src/libs/external/json_http.cpp
@@ -1,8 +1,8 @@
-#include "platform/json_http.h"
+#include "external/json_http.h"
 
 #include "absl/strings/str_cat.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 absl::StatusOr<nlohmann::json> parseBody(const transport::http_result& result, absl::string_view step, absl::string_view peer)
 {
@@ -12,4 +12,4 @@
     return body;
 }
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/json_http.h
+++ b/src/libs/external/json_http.h
@@ -7,7 +7,7 @@
 #include "transport/http_client.h"
 #include "utils/errors.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 //! \brief Parses the body of an answer; an error names \a step and \a peer.
 absl::StatusOr<nlohmann::json> parseBody(const transport::http_result& result, absl::string_view step, absl::string_view peer);
@@ -23,4 +23,4 @@
     }
 }
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/key_value_store.h
+++ b/src/libs/external/key_value_store.h
@@ -9,15 +9,19 @@
 #include "absl/status/statusor.h"
 #include "utils/clock.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 //! \brief Number of a write in the store's order; a key's version is the revision of its last write.
 using revision = std::uint64_t;
 
+using lease_id = std::uint64_t;
+
 struct key_value {
     std::string key;
     revision version = 0;
     std::string value;
+    //! Lease whose end deletes the key; 0 for none or where the store does not tell.
+    lease_id lease = 0;
 
     auto operator<=>(const key_value&) const = default;
 };
@@ -32,6 +36,8 @@
     revision version = 0;
     std::string value;
     bool deleted = false;
+    //! Lease whose end deletes the key; 0 for none or where the store does not tell.
+    lease_id lease = 0;
 
     auto operator<=>(const key_change&) const = default;
 };
@@ -41,8 +47,6 @@
     std::vector<key_change> changes;
 };
 
-using lease_id = std::uint64_t;
-
 struct write_request {
     std::string key;
     std::string value;
@@ -79,4 +83,4 @@
     virtual void watch(const std::string& prefix, revision after, utils::milliseconds wait, store_callback<watch_result> callback) = 0;
 };
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/store_call.cpp
+++ b/src/libs/external/store_call.cpp
@@ -1,8 +1,8 @@
-#include "platform/store_call.h"
+#include "external/store_call.h"
 
 #include <array>
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 absl::string_view toString(store_call kind)
 {
@@ -10,4 +10,4 @@
     return names[static_cast<std::size_t>(kind)];
 }
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/store_call.h
+++ b/src/libs/external/store_call.h
@@ -4,7 +4,7 @@
 
 #include "absl/strings/string_view.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 //! \brief Kinds of calls that count against the store's rates.
 enum class store_call {
@@ -20,4 +20,4 @@
 
 absl::string_view toString(store_call kind);
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/src/libs/platform/worker_control.h
+++ b/src/libs/external/worker_control.h
@@ -9,7 +9,7 @@
 #include "model/host.h"
 #include "utils/clock.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 enum class attempt_state {
     Running,
@@ -101,4 +101,4 @@
     virtual void stop(const model::host& worker, const attempt_key& key, worker_callback<stop_result> callback) = 0;
 };
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- /dev/null
+++ b/src/libs/jobs/job_engine.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jobs/engine_command.h"
+#include "jobs/engine_settings.h"
+#include "jobs/job_record.h"
+#include "jobs/job_state.h"
+#include "jobs/placement.h"
+
+namespace camphorsaddle::jobs {
+
+//! \brief Rewrite of a job's course that the store is to take.
+struct progress_write {
+    std::string job;
+    std::string value;
+    std::uint64_t version = 0;
+};
+
+//! \brief Decides for one term of a leader where the tasks of all jobs run.
+//!
+//! Events and the present time go in, commands come out; no input and output of its own. The present time includes
+//! suspensions of the host. A task runs again only if the end of its former run is known: reported by its worker, its
+//! worker's life is over, or the lease has surely lapsed.
+class job_engine {
+public:
+    using note_function = std::function<void(const engine_note&)>;
+
+    //! \a term is the fencing token of all orders.
+    job_engine(engine_settings settings, std::uint64_t term, note_function note);
+    ~job_engine();
+    job_engine(const job_engine&) = delete;
+    job_engine& operator=(const job_engine&) = delete;
+
+    void setRules(std::shared_ptr<const deployment_rules> rules);
+
+    // What the directory of workers says.
+    void announce(const worker_description& worker, utils::time_point now);
+    void withdraw(const std::string& worker, utils::time_point now);
+
+    // Jobs whose records the store has.
+    void restore(const job_spec& job, const job_progress& progress, bool isCancelled, utils::time_point now);
+    //! \brief Ends the restoration: tasks of restored jobs wait until each worker of \a roster has told what it runs.
+    void beginTerm(const std::vector<std::string>& roster, utils::time_point now);
+    void add(const job_spec& job, utils::time_point now);
+    void cancel(const std::string& id, utils::time_point now);
+
+    // Answers to commands.
+    void startAnswered(const std::string& worker, const external::run_id& run, const external::order_reply& reply, utils::time_point sentAt, utils::time_point now);
+    void stopAnswered(const std::string& worker, const external::run_id& run, const external::order_reply& reply, utils::time_point now);
+    void paceAnswered(const std::string& worker, const external::run_id& run, int percent, const external::order_reply& reply, utils::time_point now);
+    void observed(const std::string& worker, const observe_command& command, const external::observe_reply& reply, utils::time_point sentAt, utils::time_point now);
+
+    //! \brief Orders that are due now.
+    std::vector<engine_command> decide(utils::time_point now);
+
+    // The store's side.
+    std::vector<progress_write> takeProgress(std::size_t limit);
+    void progressStored(const std::string& job, std::uint64_t version);
+    void progressNotStored(const std::string& job);
+    std::vector<std::string> roster() const;
+    //! \brief Whether the stored roster lacks a worker or names one that can hold no run any more.
+    bool needsRoster() const;
+    void rosterStored(const std::vector<std::string>& workers);
+    //! \brief Forgets jobs that ended long ago and tells their ids.
+    std::vector<std::string> forgetFinished(utils::time_point now, std::size_t limit);
+
+    // Questions of callers.
+    bool knows(const std::string& id) const;
+    //! \brief Phase that callers may be told: final only when the store has it.
+    std::optional<job_phase> phase(const std::string& id) const;
+    std::uint64_t pending(const std::string& queue) const;
+    std::size_t unfinishedJobs() const;
+    //! \brief A worker has met a higher fencing token, so that another leader is at work.
+    bool isDeposed() const;
+    bool isRestoring(utils::time_point now) const;
+
+    const std::map<std::string, std::unique_ptr<worker_state>>& workers() const;
+
+private:
+    struct task_place;
+    struct idle_step;
+
+    // jobs
+    job_state& insert(const job_spec& job, utils::time_point now);
+    void refreshReadiness(job_state& job);
+    void endJob(job_state& job, job_phase phase, utils::time_point now, const std::string& why);
+    void changed(job_state& job);
+    void stopRuns(job_state& job, utils::time_point now, const std::string& why);
+    job_progress progressOf(const job_state& job) const;
+    const queue_rules* rulesOf(const job_state& job) const;
+    unsigned attemptsOf(const job_state& job) const;
+
+    // runs
+    run_state& openRun(job_state& job, unsigned step, unsigned index, worker_state& worker, std::uint64_t number, utils::time_point now);
+    void closeRun(run_state& run);
+    void stopRun(run_state& run, utils::time_point now, const std::string& why);
+    run_state* findRun(worker_state& worker, const external::run_id& id);
+    task_state* findTask(const external::run_id& id, job_state** job);
+    task_state& taskOf(const run_state& run);
+    void taskDone(job_state& job, unsigned step, unsigned index, utils::time_point now);
+    void taskFailed(job_state& job, unsigned step, unsigned index, worker_state& worker, utils::time_point now);
+    void loseRuns(worker_state& worker, utils::time_point now, const std::string& why);
+    external::run_id idOf(const run_state& run) const;
+    void note(note_kind kind, const run_state& run, const std::string& detail);
+    void note(note_kind kind, const worker_state& worker, const std::string& detail);
+
+    // observations
+    void beginLife(worker_state& worker, std::int64_t life, utils::time_point now);
+    void takeEnd(worker_state& worker, const external::run_end& end, utils::time_point now);
+    void takeReports(worker_state& worker, const std::vector<external::run_report>& reports, utils::time_point sentAt, utils::time_point now);
+    void takeReport(worker_state& worker, const external::run_report& report, utils::time_point now);
+    void takeAbsence(run_state& run, utils::time_point sentAt, utils::time_point now);
+    void updateClock(worker_state& worker, external::worker_time clock, utils::time_point now);
+    external::worker_time grantLease(worker_state& worker, utils::time_point now);
+    void acknowledgeEnds();
+
+    // decisions
+    void expireLeases(utils::time_point now);
+    void moveFromLeaving(utils::time_point now);
+    void findStalledRuns(utils::time_point now);
+    void paceFills(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
+    void dispatch(utils::time_point now, std::vector<engine_command>& commands);
+    std::vector<idle_step> idleSteps(utils::time_point now) const;
+    worker_state* choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const;
+    void orderStops(utils::time_point now, std::vector<engine_command>& commands);
+    void observe(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
+    void endRestoration(utils::time_point now);
+    utils::milliseconds expectedDuration(const job_state& job, unsigned step) const;
+    utils::time_point objectiveOf(const job_state& job) const;
+
+    engine_settings m_settings;
+    std::uint64_t m_term;
+    note_function m_note;
+    std::shared_ptr<const deployment_rules> m_rules;
+    std::unordered_map<std::string, std::unique_ptr<job_state>> m_jobs;
+    std::map<std::string, std::unique_ptr<worker_state>> m_workers;
+    //! Jobs that have not ended, in order of acceptance.
+    std::vector<job_state*> m_active;
+    std::set<std::string> m_dirty;
+    std::vector<std::string> m_storedRoster;
+    //! Workers that may hold runs of a former leader and have not answered this one.
+    std::set<std::string> m_unheard;
+    utils::time_point m_restoreUntil;
+    bool m_isRestoring = false;
+    bool m_isDeposed = false;
+    fill_pressure m_pressure;
+    //! Mean duration of a queue's runs against their estimate.
+    std::map<std::string, double> m_estimateRatios;
+};
+
+} // namespace camphorsaddle::jobs
--- /dev/null
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -0,0 +1,217 @@
+#include <algorithm>
+#include <tuple>
+
+#include "absl/strings/str_cat.h"
+#include "jobs/job_engine.h"
+
+namespace camphorsaddle::jobs {
+
+namespace {
+
+    constexpr utils::milliseconds millisecondsBetween(utils::time_point from, utils::time_point to)
+    {
+        return std::chrono::duration_cast<utils::milliseconds>(to - from);
+    }
+
+    // A run is taken as stalled when its rest needs this many times the duration of a sibling.
+    constexpr double stalledFactor = 1.6;
+    constexpr double unknownStalledFactor = 4.0;
+    // Reports are up to a waiting observation old, and a restart costs the restore of a checkpoint.
+    constexpr utils::milliseconds stalledSlack { 700 };
+    // Work that fills rests while its neighbours use their processors.
+    constexpr utils::milliseconds fillStandstill { 3500 };
+    // A task that lasts is at work shortly after its start.
+    constexpr utils::milliseconds servingStartLimit { 2500 };
+    // More moves than this rather show that the task itself is long.
+    constexpr std::size_t moveLimit = 3;
+
+} // namespace
+
+struct job_engine::idle_step {
+    job_state* job = nullptr;
+    unsigned step = 0;
+    //! Sort key: tasks that last, value that is left, priority, begun jobs, deadline.
+    std::tuple<int, int, int, int, utils::time_point> order;
+    std::vector<unsigned> tasks;
+};
+
+std::vector<engine_command> job_engine::decide(utils::time_point now)
+{
+    std::vector<engine_command> commands;
+    endRestoration(now);
+    expireLeases(now);
+    moveFromLeaving(now);
+    findStalledRuns(now);
+    dispatch(now, commands);
+    for (auto& [id, worker] : m_workers)
+        paceFills(*worker, now, commands);
+    orderStops(now, commands);
+    for (auto& [id, worker] : m_workers)
+        observe(*worker, now, commands);
+    return commands;
+}
+
+void job_engine::expireLeases(utils::time_point now)
+{
+    for (auto& [id, worker] : m_workers) {
+        if (worker->silences == 0 || worker->runs.empty() || now < worker->leaseOverAt)
+            continue;
+        loseRuns(*worker, now, "the lease of its silent worker is over");
+        worker->isFenced = false;
+    }
+}
+
+void job_engine::moveFromLeaving(utils::time_point now)
+{
+    for (auto& [id, worker] : m_workers) {
+        if (!worker->about.isDraining)
+            continue;
+        for (auto* run : worker->runs) {
+            const auto& spec = run->job->spec.steps[run->step];
+            if (run->phase == run_phase::Running && spec.lasts && spec.mayMiss == 0)
+                stopRun(*run, now, "its worker leaves");
+        }
+    }
+}
+
+void job_engine::findStalledRuns(utils::time_point now)
+{
+    for (auto* job : m_active) {
+        for (unsigned number = 0; number < job->steps.size(); ++number) {
+            const auto& spec = job->spec.steps[number];
+            auto& step = job->steps[number];
+            if (!step.isReady || step.doneCount == step.tasks.size())
+                continue;
+            for (auto& task : step.tasks) {
+                if (task.runs.size() != 1 || task.runs.front()->phase != run_phase::Running || task.avoided.size() >= moveLimit)
+                    continue;
+                auto& run = *task.runs.front();
+                const auto elapsed = millisecondsBetween(run.runningSince, now);
+                if (spec.lasts) {
+                    if (run.percent < 100 && elapsed > servingStartLimit && run.worker->answeredAt > run.runningSince + servingStartLimit) {
+                        task.avoided.push_back(run.worker->about.id);
+                        run.worker->trust.stalled(now);
+                        stopRun(run, now, "it does not serve");
+                    }
+                    continue;
+                }
+                if (spec.fills) {
+                    if (run.pace > 0 && now - run.percentChangedAt > fillStandstill && run.worker->answeredAt > run.percentChangedAt + fillStandstill / 2) {
+                        task.avoided.push_back(run.worker->about.id);
+                        run.worker->trust.stalled(now);
+                        stopRun(run, now, absl::StrCat("it stands still at ", run.percent, "%"));
+                    }
+                    continue;
+                }
+                const double expected = static_cast<double>(expectedDuration(*job, number).count());
+                const double factor = step.durationCount > 0 ? stalledFactor : unknownStalledFactor;
+                const int gained = run.percent - std::max(run.firstPercent, 0);
+                const auto observedFor = static_cast<double>(millisecondsBetween(run.runningSince, run.worker->answeredAt).count());
+                // The progress was reported when the worker answered last; since then nothing is known.
+                const double rest = gained > 0 ? observedFor * (100 - run.percent) / gained - static_cast<double>(millisecondsBetween(run.worker->answeredAt, now).count()) : expected * factor + static_cast<double>(elapsed.count());
+                const bool isLate = static_cast<double>(elapsed.count()) > expected * 0.5 + static_cast<double>(stalledSlack.count());
+                if (!isLate || rest < expected * factor + static_cast<double>(stalledSlack.count()))
+                    continue;
+                task.avoided.push_back(run.worker->about.id);
+                run.worker->trust.stalled(now);
+                if (!spec.speculative)
+                    stopRun(run, now, absl::StrCat("it stalls at ", run.percent, "% after ", elapsed.count(), " ms, siblings take ", static_cast<int>(expected)));
+            }
+        }
+    }
+}
+
+std::vector<job_engine::idle_step> job_engine::idleSteps(utils::time_point now) const
+{
+    std::vector<idle_step> result;
+    for (auto* job : m_active) {
+        const auto* rules = rulesOf(*job);
+        std::optional<utils::time_point> objective;
+        for (unsigned number = 0; number < job->steps.size(); ++number) {
+            const auto& step = job->steps[number];
+            if (!step.isReady || step.doneCount == step.tasks.size())
+                continue;
+            const auto& spec = job->spec.steps[number];
+            idle_step idle { job, number, {}, {} };
+            for (unsigned index = 0; index < step.tasks.size(); ++index) {
+                const auto& task = step.tasks[index];
+                if (task.isDone || now < task.notBefore || (task.mayRunElsewhere && m_isRestoring))
+                    continue;
+                // A copy runs beside a stalled run, never beside one that may not have started.
+                const bool wantsCopy = spec.speculative && task.runs.size() == 1 && task.runs.front()->phase == run_phase::Running
+                    && std::ranges::find(task.avoided, task.runs.front()->worker->about.id) != task.avoided.end() && task.failures + 1 < attemptsOf(*job);
+                if (task.runs.empty() || wantsCopy)
+                    idle.tasks.push_back(index);
+            }
+            if (idle.tasks.empty())
+                continue;
+            if (!objective)
+                objective = objectiveOf(*job);
+            const auto rest = expectedDuration(*job, number);
+            const auto threefold = job->acceptedAt + (*objective - job->acceptedAt) * 3;
+            const int lostValue = now + rest <= *objective ? 0 : now + rest <= threefold ? 1
+                                                                                         : 2;
+            idle.order = { spec.lasts ? 0 : 1, spec.lasts ? 0 : lostValue, rules == nullptr ? 9 : rules->priority, job->phase == job_phase::Running ? 0 : 1, *objective };
+            result.push_back(std::move(idle));
+        }
+    }
+    std::ranges::sort(result, {}, &idle_step::order);
+    return result;
+}
+
+worker_state* job_engine::choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const
+{
+    const auto& spec = job.spec.steps[step];
+    worker_state* best = nullptr;
+    double bestCost = 0;
+    for (const auto& [id, worker] : m_workers) {
+        if (!mayPlace(*worker, spec, job.spec.service, m_settings.withdrawalGrace, now) || !std::ranges::binary_search(m_storedRoster, id))
+            continue;
+        if (spec.perWorker > 0 && runsOfStep(*worker, job, step) >= spec.perWorker)
+            continue;
+        if (std::ranges::any_of(task.runs, [&](const auto& run) { return run->worker == worker.get(); }))
+            continue;
+        double cost = placementCost(*worker, spec, m_pressure);
+        if (std::ranges::find(task.avoided, id) != task.avoided.end())
+            cost += 10;
+        if (best == nullptr || cost < bestCost) {
+            best = worker.get();
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void job_engine::dispatch(utils::time_point now, std::vector<engine_command>& commands)
+{
+    for (const auto& idle : idleSteps(now)) {
+        auto& job = *idle.job;
+        const auto& spec = job.spec.steps[idle.step];
+        for (const unsigned index : idle.tasks) {
+            auto& task = job.steps[idle.step].tasks[index];
+            auto* worker = choose(job, idle.step, task, now);
+            if (worker == nullptr)
+                break;
+            auto& run = openRun(job, idle.step, index, *worker, task.lastRun + 1, now);
+            run.checkpoint = spec.checkpoints ? task.checkpoint : std::string();
+            commands.push_back(start_command { { worker->about.id, worker->about.endpoint }, { idOf(run), job.spec.payload, run.checkpoint, grantLease(*worker, now), m_term } });
+        }
+    }
+}
+
+void job_engine::orderStops(utils::time_point now, std::vector<engine_command>& commands)
+{
+    for (auto& [id, worker] : m_workers) {
+        for (auto* run : worker->runs) {
+            if (run->phase != run_phase::Stopping || run->isStopUnderWay)
+                continue;
+            if (run->stopSentAt != utils::time_point() && now < run->stopSentAt + m_settings.stopRepeat)
+                continue;
+            run->stopSentAt = now;
+            run->isStopUnderWay = true;
+            commands.push_back(stop_command { { id, worker->about.endpoint }, idOf(*run) });
+        }
+    }
+}
+
+} // namespace camphorsaddle::jobs
--- /dev/null
+++ b/src/libs/jobs/job_record.cpp
@@ -0,0 +1,187 @@
+#include "jobs/job_record.h"
+
+#include "protocol/jobs.pb.h"
+#include "utils/errors.h"
+
+namespace camphorsaddle::jobs {
+
+namespace {
+
+    void writeStep(const step_spec& step, protocol::JobStep& record)
+    {
+        record.set_count(step.count);
+        record.set_processors(step.each.processors);
+        record.set_memory(step.each.memory);
+        record.set_accelerators(step.each.accelerators);
+        record.set_estimate_ms(step.estimate.count());
+        for (const unsigned before : step.after)
+            record.add_after(before);
+        record.set_checkpoints(step.checkpoints);
+        record.set_label(step.label);
+        record.set_rack(step.rack);
+        record.set_per_worker(step.perWorker);
+        record.set_speculative(step.speculative);
+        record.set_lasts(step.lasts);
+        record.set_image(step.image);
+        record.set_target_ms(step.target.count());
+        record.set_fills(step.fills);
+        record.set_may_miss(step.mayMiss);
+    }
+
+    step_spec readStep(const protocol::JobStep& record)
+    {
+        step_spec step;
+        step.count = record.count();
+        step.each = { record.processors(), record.memory(), record.accelerators() };
+        step.estimate = utils::milliseconds(record.estimate_ms());
+        step.after.assign(record.after().begin(), record.after().end());
+        step.checkpoints = record.checkpoints();
+        step.label = record.label();
+        step.rack = record.rack();
+        step.perWorker = record.per_worker();
+        step.speculative = record.speculative();
+        step.lasts = record.lasts();
+        step.image = record.image();
+        step.target = utils::milliseconds(record.target_ms());
+        step.fills = record.fills();
+        step.mayMiss = record.may_miss();
+        return step;
+    }
+
+    protocol::JobProgress::State stateOf(job_phase phase)
+    {
+        switch (phase) {
+        case job_phase::Completed:
+            return protocol::JobProgress::COMPLETED;
+        case job_phase::Failed:
+            return protocol::JobProgress::FAILED;
+        case job_phase::Cancelled:
+            return protocol::JobProgress::CANCELLED;
+        case job_phase::Queued:
+        case job_phase::Running:
+            break;
+        }
+        return protocol::JobProgress::ACTIVE;
+    }
+
+    job_phase phaseOf(protocol::JobProgress::State state)
+    {
+        switch (state) {
+        case protocol::JobProgress::COMPLETED:
+            return job_phase::Completed;
+        case protocol::JobProgress::FAILED:
+            return job_phase::Failed;
+        case protocol::JobProgress::CANCELLED:
+            return job_phase::Cancelled;
+        default:
+            return job_phase::Running;
+        }
+    }
+
+    template <typename Record>
+    absl::StatusOr<Record> parseRecord(const std::string& value, absl::string_view step)
+    {
+        Record record;
+        if (!record.ParseFromString(value))
+            return utils::makeError(absl::StatusCode::kDataLoss, step, "store", "the stored bytes are no record of this kind");
+        return record;
+    }
+
+} // namespace
+
+void writeJob(const job_spec& job, protocol::JobRecord& record)
+{
+    record.set_id(job.id);
+    record.set_queue(job.queue);
+    record.set_service(job.service);
+    record.set_payload(job.payload);
+    for (const auto& step : job.steps)
+        writeStep(step, *record.add_steps());
+    record.set_accepted_ms(job.acceptedAt.count());
+}
+
+job_spec readJob(const protocol::JobRecord& record)
+{
+    job_spec job { record.id(), record.queue(), record.service(), record.payload(), {}, utils::milliseconds(record.accepted_ms()) };
+    for (const auto& step : record.steps())
+        job.steps.push_back(readStep(step));
+    return job;
+}
+
+std::string encodeJob(const job_spec& job)
+{
+    protocol::JobRecord record;
+    writeJob(job, record);
+    return record.SerializeAsString();
+}
+
+std::string encodeProgress(const job_progress& progress)
+{
+    protocol::JobProgress record;
+    record.set_state(stateOf(progress.phase));
+    for (const auto& task : progress.tasks) {
+        auto& target = *record.add_tasks();
+        target.set_step(task.step);
+        target.set_index(task.index);
+        target.set_done(task.isDone);
+        target.set_failures(task.failures);
+        target.set_last_run(task.lastRun);
+        target.set_checkpoint(task.checkpoint);
+    }
+    return record.SerializeAsString();
+}
+
+std::string encodeLeader(const leader_record& leader)
+{
+    protocol::LeaderRecord record;
+    record.set_daemon(leader.daemon);
+    record.set_incarnation(leader.incarnation);
+    record.set_endpoint(leader.endpoint);
+    record.set_term(leader.term);
+    return record.SerializeAsString();
+}
+
+std::string encodeRoster(const std::vector<std::string>& workers)
+{
+    protocol::WorkerRoster record;
+    for (const auto& worker : workers)
+        record.add_workers(worker);
+    return record.SerializeAsString();
+}
+
+absl::StatusOr<job_spec> parseJob(const std::string& value)
+{
+    const auto record = parseRecord<protocol::JobRecord>(value, "read job");
+    if (!record.ok())
+        return record.status();
+    return readJob(*record);
+}
+
+absl::StatusOr<job_progress> parseProgress(const std::string& value)
+{
+    const auto record = parseRecord<protocol::JobProgress>(value, "read progress");
+    if (!record.ok())
+        return record.status();
+    job_progress progress { phaseOf(record->state()), {} };
+    for (const auto& task : record->tasks())
+        progress.tasks.push_back({ task.step(), task.index(), task.done(), task.failures(), task.last_run(), task.checkpoint() });
+    return progress;
+}
+
+absl::StatusOr<leader_record> parseLeader(const std::string& value)
+{
+    const auto record = parseRecord<protocol::LeaderRecord>(value, "read leader");
+    if (!record.ok())
+        return record.status();
+    return leader_record { record->daemon(), record->incarnation(), record->endpoint(), record->term() };
+}
+
+absl::StatusOr<std::vector<std::string>> parseRoster(const std::string& value)
+{
+    const auto record = parseRecord<protocol::WorkerRoster>(value, "read roster");
+    if (!record.ok())
+        return record.status();
+    return std::vector<std::string>(record->workers().begin(), record->workers().end());
+}
+
+} // namespace camphorsaddle::jobs
--- /dev/null
+++ b/src/libs/jobs/job_record.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "jobs/job.h"
+
+namespace camphorsaddle::protocol {
+class JobRecord;
+}
+
+namespace camphorsaddle::jobs {
+
+//! \brief What is kept of one task; tasks that have neither ended nor failed are left out.
+struct task_progress {
+    unsigned step = 0;
+    unsigned index = 0;
+    bool isDone = false;
+    unsigned failures = 0;
+    std::uint64_t lastRun = 0;
+    std::string checkpoint;
+
+    auto operator<=>(const task_progress&) const = default;
+};
+
+//! \brief What is kept of a job's course. Queued and Running are both kept as Running.
+struct job_progress {
+    job_phase phase = job_phase::Running;
+    std::vector<task_progress> tasks;
+
+    auto operator<=>(const job_progress&) const = default;
+};
+
+//! \brief Value of the key by which a daemon leads.
+struct leader_record {
+    std::string daemon;
+    std::uint64_t incarnation = 0;
+    //! Where the leader takes the calls of other daemons.
+    std::string endpoint;
+    std::uint64_t term = 0;
+
+    auto operator<=>(const leader_record&) const = default;
+};
+
+void writeJob(const job_spec& job, protocol::JobRecord& record);
+job_spec readJob(const protocol::JobRecord& record);
+
+std::string encodeJob(const job_spec& job);
+std::string encodeProgress(const job_progress& progress);
+std::string encodeLeader(const leader_record& leader);
+std::string encodeRoster(const std::vector<std::string>& workers);
+
+//! \brief Decoders of stored values; DataLoss for bytes that this codec did not write.
+absl::StatusOr<job_spec> parseJob(const std::string& value);
+absl::StatusOr<job_progress> parseProgress(const std::string& value);
+absl::StatusOr<leader_record> parseLeader(const std::string& value);
+absl::StatusOr<std::vector<std::string>> parseRoster(const std::string& value);
+
+} // namespace camphorsaddle::jobs
--- a/src/libs/journal/log.cpp
+++ b/src/libs/journal/log.cpp
@@ -61,7 +61,7 @@
         m_waiting.pop_front();
     }
     m_waitingBytes -= bytes;
-    platform::write_request request {
+    external::write_request request {
         .key = slotKey(m_options.name, record.slot(), m_options.ring),
         .value = encodeStored(record),
         .expectedVersion = m_slotVersions[record.slot() % m_options.ring],
@@ -114,7 +114,7 @@
     pump();
 }
 
-void log::implementation::commitBatch(const protocol::JournalRecord& record, platform::revision version)
+void log::implementation::commitBatch(const protocol::JournalRecord& record, external::revision version)
 {
     m_lastSlot = record.slot();
     m_slotVersions[record.slot() % m_options.ring] = version;
@@ -172,7 +172,7 @@
         return;
     auto record = makeRecord(m_lastSlot + 1);
     record.set_release(true);
-    platform::write_request request {
+    external::write_request request {
         .key = slotKey(m_options.name, record.slot(), m_options.ring),
         .value = encodeStored(record),
         .expectedVersion = m_slotVersions[record.slot() % m_options.ring],
@@ -220,7 +220,7 @@
         std::exchange(m_released, nullptr)(uncertain);
 }
 
-log::log(platform::key_value_store& store, executor& loop, write_budget& budget, options options, observer& observer)
+log::log(external::key_value_store& store, executor& loop, write_budget& budget, options options, observer& observer)
     : m_implementation(std::make_shared<implementation>(store, loop, budget, std::move(options), observer))
 {
 }
--- a/src/libs/journal/log.h
+++ b/src/libs/journal/log.h
@@ -8,9 +8,9 @@
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
+#include "external/key_value_store.h"
 #include "journal/executor.h"
 #include "journal/write_budget.h"
-#include "platform/key_value_store.h"
 
 namespace camphorsaddle::journal {
 
@@ -78,7 +78,7 @@
     using append_callback = std::function<void(absl::Status)>;
     using release_callback = std::function<void(absl::Status)>;
 
-    log(platform::key_value_store& store, executor& loop, write_budget& budget, options options, observer& observer);
+    log(external::key_value_store& store, executor& loop, write_budget& budget, options options, observer& observer);
     ~log();
     log(const log&) = delete;
     log& operator=(const log&) = delete;
--- a/src/libs/journal/log_implementation.h
+++ b/src/libs/journal/log_implementation.h
@@ -26,7 +26,7 @@
 
 class log::implementation : public std::enable_shared_from_this<implementation> {
 public:
-    implementation(platform::key_value_store& store, executor& loop, write_budget& budget, options options, observer& observer)
+    implementation(external::key_value_store& store, executor& loop, write_budget& budget, options options, observer& observer)
         : m_options(std::move(options))
         , m_observer(observer)
         , m_context(std::make_shared<write_context>(write_context { store, loop, budget, m_options.firstRetry, m_options.longestRetry, utils::stableHash(m_options.writer), true, 0 }))
@@ -58,7 +58,7 @@
     void writeBatch();
     void finishBatch(const protocol::JournalRecord& record, const write_result& result);
     void splitBatch(protocol::JournalRecord record, const write_result& result);
-    void commitBatch(const protocol::JournalRecord& record, platform::revision version);
+    void commitBatch(const protocol::JournalRecord& record, external::revision version);
     void startSnapshot();
     void finishSnapshot(const absl::StatusOr<std::uint64_t>& covered);
     void writeRelease();
@@ -97,7 +97,7 @@
     bool m_wasReleased = false;
     std::uint64_t m_batch = 0;
     std::uint64_t m_coveredSlot = 0;
-    std::vector<platform::revision> m_slotVersions;
+    std::vector<external::revision> m_slotVersions;
     std::optional<snapshot_writer> m_snapshots;
     std::size_t m_waitingBytes = 0;
     bool m_isWritePlanned = false;
--- a/src/libs/journal/reader.cpp
+++ b/src/libs/journal/reader.cpp
@@ -28,7 +28,7 @@
     public:
         using callback_type = std::function<void(absl::StatusOr<log_contents>)>;
 
-        contents_reader(platform::key_value_store& store, std::string name, reading options, callback_type callback)
+        contents_reader(external::key_value_store& store, std::string name, reading options, callback_type callback)
             : m_store(store)
             , m_name(std::move(name))
             , m_options(options)
@@ -40,7 +40,7 @@
         {
             // A log without a snapshot counts as one whose snapshot is empty.
             m_contents.head.set_checksum(utils::stableHash({}));
-            read(snapshotHeadKey(m_name), [this](const platform::key_value& head) {
+            read(snapshotHeadKey(m_name), [this](const external::key_value& head) {
                 if (head.version != 0) {
                     if (auto status = decodeStored(head.key, head.value, m_contents.head); !status.ok()) {
                         m_callback(status);
@@ -53,21 +53,21 @@
 
     private:
         //! Answers with version 0 for an absent key.
-        void read(const std::string& key, std::function<void(const platform::key_value&)> next)
+        void read(const std::string& key, std::function<void(const external::key_value&)> next)
         {
             ++m_contents.calls;
-            m_store.read(key, [self = shared_from_this(), key, next = std::move(next)](const absl::StatusOr<platform::key_value>& value) {
+            m_store.read(key, [self = shared_from_this(), key, next = std::move(next)](const absl::StatusOr<external::key_value>& value) {
                 if (!value.ok() && !absl::IsNotFound(value.status())) {
                     self->m_callback(utils::withContext(value.status(), "read journal", self->m_name));
                     return;
                 }
-                const auto found = value.ok() ? *value : platform::key_value { key, 0, {} };
+                const auto found = value.ok() ? *value : external::key_value { key, 0, {} };
                 self->note(found);
                 next(found);
             });
         }
 
-        void note(const platform::key_value& value)
+        void note(const external::key_value& value)
         {
             m_contents.versions[value.key] = value.version;
             m_contents.bytes += value.key.size() + value.value.size();
@@ -81,7 +81,7 @@
                 listSlots({});
                 return;
             }
-            read(snapshotChunkKey(m_name, m_contents.head.generation(), index), [this, index](const platform::key_value& value) {
+            read(snapshotChunkKey(m_name, m_contents.head.generation(), index), [this, index](const external::key_value& value) {
                 protocol::SnapshotChunk chunk;
                 if (value.version == 0) {
                     mix(mixedContents(value.key, absl::StrCat("a chunk of the snapshot that covers slot ", m_contents.head.covered_slot(), " is missing")));
@@ -99,7 +99,7 @@
         void listSlots(const std::string& start)
         {
             ++m_contents.calls;
-            m_store.list(absl::StrCat(logPrefix(m_name), "slot/"), start, m_options.pageKeys, [self = shared_from_this()](const absl::StatusOr<platform::key_listing>& page) {
+            m_store.list(absl::StrCat(logPrefix(m_name), "slot/"), start, m_options.pageKeys, [self = shared_from_this()](const absl::StatusOr<external::key_listing>& page) {
                 if (!page.ok()) {
                     self->m_callback(utils::withContext(page.status(), "list journal", self->m_name));
                     return;
@@ -115,7 +115,7 @@
             });
         }
 
-        absl::Status addSlots(const platform::key_listing& page)
+        absl::Status addSlots(const external::key_listing& page)
         {
             for (const auto& entry : page.entries) {
                 note(entry);
@@ -156,7 +156,7 @@
                 m_contents.mixed = cause;
         }
 
-        platform::key_value_store& m_store;
+        external::key_value_store& m_store;
         std::string m_name;
         reading m_options;
         callback_type m_callback;
@@ -166,7 +166,7 @@
 
 } // namespace
 
-platform::revision log_contents::versionOf(const std::string& key) const
+external::revision log_contents::versionOf(const std::string& key) const
 {
     const auto found = versions.find(key);
     return found == versions.end() ? 0 : found->second;
@@ -180,7 +180,7 @@
     return hash;
 }
 
-void readContents(platform::key_value_store& store, const std::string& name, reading options, std::function<void(absl::StatusOr<log_contents>)> callback)
+void readContents(external::key_value_store& store, const std::string& name, reading options, std::function<void(absl::StatusOr<log_contents>)> callback)
 {
     std::make_shared<contents_reader>(store, name, options, std::move(callback))->readHead();
 }
--- a/src/libs/journal/reader.h
+++ b/src/libs/journal/reader.h
@@ -8,7 +8,7 @@
 
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 #include "protocol/journal.pb.h"
 
 namespace camphorsaddle::journal {
@@ -23,7 +23,7 @@
     std::uint64_t lastSlot = 0;
     std::uint64_t lastEpoch = 0;
     //! Versions of the keys that were read.
-    std::map<std::string, platform::revision> versions;
+    std::map<std::string, external::revision> versions;
     //! Aborted when the values come from several moments of the log: the other fields are not whole, read again.
     absl::Status mixed;
     //! What reading took.
@@ -33,7 +33,7 @@
     //! \brief Equal for two readings only if no key changed in between.
     std::uint64_t fingerprint() const;
 
-    platform::revision versionOf(const std::string& key) const;
+    external::revision versionOf(const std::string& key) const;
 };
 
 struct reading {
@@ -47,6 +47,6 @@
 //! A slot's record never changes until it is covered, so the records that follow the snapshot without a gap are part of
 //! the log whatever the moments of the pages; a later writer is found by the version of the next slot.
 //! Errors are those of the store, and DataLoss with the key when a value fails its check.
-void readContents(platform::key_value_store& store, const std::string& name, reading options, std::function<void(absl::StatusOr<log_contents>)> callback);
+void readContents(external::key_value_store& store, const std::string& name, reading options, std::function<void(absl::StatusOr<log_contents>)> callback);
 
 } // namespace camphorsaddle::journal
--- a/src/libs/journal/settled_write.cpp
+++ b/src/libs/journal/settled_write.cpp
@@ -14,7 +14,7 @@
 
     class settled_write : public std::enable_shared_from_this<settled_write> {
     public:
-        settled_write(std::shared_ptr<write_context> context, std::weak_ptr<void> owner, platform::write_request request, std::function<void(write_result)> callback)
+        settled_write(std::shared_ptr<write_context> context, std::weak_ptr<void> owner, external::write_request request, std::function<void(write_result)> callback)
             : m_context(std::move(context))
             , m_owner(std::move(owner))
             , m_request(std::move(request))
@@ -27,11 +27,11 @@
             if (m_owner.expired())
                 return;
             ++m_context->writes;
-            m_context->store.write(m_request, [self = shared_from_this()](absl::StatusOr<platform::revision> answer) { self->written(std::move(answer)); });
+            m_context->store.write(m_request, [self = shared_from_this()](absl::StatusOr<external::revision> answer) { self->written(std::move(answer)); });
         }
 
     private:
-        void written(absl::StatusOr<platform::revision> answer)
+        void written(absl::StatusOr<external::revision> answer)
         {
             if (m_owner.expired())
                 return;
@@ -62,10 +62,10 @@
         {
             if (m_owner.expired())
                 return;
-            m_context->store.read(m_request.key, [self = shared_from_this()](absl::StatusOr<platform::key_value> answer) { self->settle(std::move(answer)); });
+            m_context->store.read(m_request.key, [self = shared_from_this()](absl::StatusOr<external::key_value> answer) { self->settle(std::move(answer)); });
         }
 
-        void settle(absl::StatusOr<platform::key_value> answer)
+        void settle(absl::StatusOr<external::key_value> answer)
         {
             if (m_owner.expired())
                 return;
@@ -75,7 +75,7 @@
                 retry(&settled_write::readBack);
                 return;
             }
-            platform::key_value current = answer.ok() ? *std::move(answer) : platform::key_value { m_request.key, 0, {} };
+            external::key_value current = answer.ok() ? *std::move(answer) : external::key_value { m_request.key, 0, {} };
             if (current.version != 0 && current.value == m_request.value)
                 finish(write_outcome::Written, std::move(current));
             else if (current.version == m_request.expectedVersion)
@@ -95,7 +95,7 @@
             m_context->loop.callLater(delay, [self = shared_from_this(), step] { (self.get()->*step)(); });
         }
 
-        void finish(write_outcome outcome, platform::key_value current)
+        void finish(write_outcome outcome, external::key_value current)
         {
             // The callback may release the owner.
             if (const auto owner = m_owner.lock())
@@ -104,7 +104,7 @@
 
         std::shared_ptr<write_context> m_context;
         std::weak_ptr<void> m_owner;
-        platform::write_request m_request;
+        external::write_request m_request;
         std::function<void(write_result)> m_callback;
         unsigned m_failures = 0;
         bool m_wasUncertain = false;
@@ -134,7 +134,7 @@
     return utils::milliseconds(half + static_cast<std::int64_t>(jitterSeed % static_cast<std::uint64_t>(half)));
 }
 
-void writeSettled(std::shared_ptr<write_context> context, std::weak_ptr<void> owner, platform::write_request request, std::function<void(write_result)> callback)
+void writeSettled(std::shared_ptr<write_context> context, std::weak_ptr<void> owner, external::write_request request, std::function<void(write_result)> callback)
 {
     std::make_shared<settled_write>(std::move(context), std::move(owner), std::move(request), std::move(callback))->write();
 }
--- a/src/libs/journal/settled_write.h
+++ b/src/libs/journal/settled_write.h
@@ -6,15 +6,15 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "external/key_value_store.h"
 #include "journal/executor.h"
 #include "journal/write_budget.h"
-#include "platform/key_value_store.h"
 
 namespace camphorsaddle::journal {
 
 //! \brief What the writes of one log share.
 struct write_context {
-    platform::key_value_store& store;
+    external::key_value_store& store;
     executor& loop;
     write_budget& budget;
     utils::milliseconds firstRetry;
@@ -41,7 +41,7 @@
 
 struct write_result {
     write_outcome outcome = write_outcome::Written;
-    platform::key_value current;
+    external::key_value current;
     //! An answer was lost, so the value may have been there before the conflict.
     bool wasUncertain = false;
     absl::Status cause;
@@ -51,7 +51,7 @@
 //!
 //! The expected version stays the same in each repetition, so that at most one of them takes effect.
 //! The callback is dropped when \a owner has expired.
-void writeSettled(std::shared_ptr<write_context> context, std::weak_ptr<void> owner, platform::write_request request, std::function<void(write_result)> callback);
+void writeSettled(std::shared_ptr<write_context> context, std::weak_ptr<void> owner, external::write_request request, std::function<void(write_result)> callback);
 
 //! \brief Runs \a function after the time that the budget asks for, at once when it has a token.
 void runPaced(const std::shared_ptr<write_context>& context, std::weak_ptr<void> owner, std::function<void()> function);
--- a/src/libs/journal/snapshot_writer.cpp
+++ b/src/libs/journal/snapshot_writer.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 snapshot_writer::snapshot_writer(std::shared_ptr<write_context> context, snapshot_options options,
-    protocol::SnapshotHead head, std::map<std::string, platform::revision> versions, std::weak_ptr<void> owner)
+    protocol::SnapshotHead head, std::map<std::string, external::revision> versions, std::weak_ptr<void> owner)
     : m_context(std::move(context))
     , m_options(std::move(options))
     , m_head(std::move(head))
@@ -118,7 +118,7 @@
 
 void snapshot_writer::send(const std::string& key, const google::protobuf::MessageLite& message, std::function<void(write_result)> callback)
 {
-    platform::write_request request { .key = key, .value = encodeStored(message), .expectedVersion = m_versions[key], .lease = 0 };
+    external::write_request request { .key = key, .value = encodeStored(message), .expectedVersion = m_versions[key], .lease = 0 };
     runPaced(m_context, m_owner, [this, request = std::move(request), callback = std::move(callback)] {
         writeSettled(m_context, m_owner, request, [this, callback](write_result result) {
             if (result.outcome == write_outcome::Written)
--- a/src/libs/journal/snapshot_writer.h
+++ b/src/libs/journal/snapshot_writer.h
@@ -31,7 +31,7 @@
     using done_callback = std::function<void(absl::StatusOr<std::uint64_t>)>;
 
     snapshot_writer(std::shared_ptr<write_context> context, snapshot_options options,
-        protocol::SnapshotHead head, std::map<std::string, platform::revision> versions, std::weak_ptr<void> owner);
+        protocol::SnapshotHead head, std::map<std::string, external::revision> versions, std::weak_ptr<void> owner);
 
     bool isBusy() const
     {
@@ -57,7 +57,7 @@
     std::shared_ptr<write_context> m_context;
     snapshot_options m_options;
     protocol::SnapshotHead m_head;
-    std::map<std::string, platform::revision> m_versions;
+    std::map<std::string, external::revision> m_versions;
     std::weak_ptr<void> m_owner;
     bool m_isFenced = false;
     bool m_isBusy = false;
--- a/src/libs/membership/member_session.cpp
+++ b/src/libs/membership/member_session.cpp
@@ -69,7 +69,7 @@
     actions.emplace_back(grant_member_lease { m_joinCall });
 }
 
-session_actions member_session::leaseGranted(std::uint64_t call, const absl::StatusOr<platform::lease_id>& answer, utils::time_point now, std::uint64_t random)
+session_actions member_session::leaseGranted(std::uint64_t call, const absl::StatusOr<external::lease_id>& answer, utils::time_point now, std::uint64_t random)
 {
     session_actions actions;
     if (call != m_joinCall || m_phase != phase::Granting)
@@ -87,7 +87,7 @@
     return actions;
 }
 
-session_actions member_session::keyRead(std::uint64_t call, const absl::StatusOr<platform::key_value>& answer, utils::time_point now, std::uint64_t random)
+session_actions member_session::keyRead(std::uint64_t call, const absl::StatusOr<external::key_value>& answer, utils::time_point now, std::uint64_t random)
 {
     session_actions actions;
     if (call != m_joinCall || m_phase != phase::Reading)
@@ -109,12 +109,12 @@
     }
     m_phase = phase::Writing;
     m_joinCall = ++m_lastCall;
-    const platform::revision version = answer.ok() ? answer->version : 0;
+    const external::revision version = answer.ok() ? answer->version : 0;
     actions.emplace_back(write_member_key { m_joinCall, { .key = memberKey(m_self.id), .value = formatMember(m_self), .expectedVersion = version, .lease = m_lease } });
     return actions;
 }
 
-session_actions member_session::keyWritten(std::uint64_t call, const absl::StatusOr<platform::revision>& answer, utils::time_point now, std::uint64_t random)
+session_actions member_session::keyWritten(std::uint64_t call, const absl::StatusOr<external::revision>& answer, utils::time_point now, std::uint64_t random)
 {
     session_actions actions;
     checkLease(now, actions);
@@ -214,7 +214,7 @@
     return actions;
 }
 
-session_actions member_session::membersListed(std::uint64_t call, const absl::StatusOr<platform::key_listing>& answer, utils::time_point now, std::uint64_t random)
+session_actions member_session::membersListed(std::uint64_t call, const absl::StatusOr<external::key_listing>& answer, utils::time_point now, std::uint64_t random)
 {
     session_actions actions;
     checkLease(now, actions);
@@ -238,7 +238,7 @@
     return actions;
 }
 
-session_actions member_session::membersChanged(std::uint64_t call, const absl::StatusOr<platform::watch_result>& answer, utils::time_point now, std::uint64_t random)
+session_actions member_session::membersChanged(std::uint64_t call, const absl::StatusOr<external::watch_result>& answer, utils::time_point now, std::uint64_t random)
 {
     session_actions actions;
     checkLease(now, actions);
--- a/src/libs/membership/member_session.h
+++ b/src/libs/membership/member_session.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "external/key_value_store.h"
 #include "membership/member.h"
-#include "platform/key_value_store.h"
 
 namespace camphorsaddle::membership {
 
@@ -41,12 +41,12 @@
 
 struct renew_member_lease {
     std::uint64_t call = 0;
-    platform::lease_id lease = 0;
+    external::lease_id lease = 0;
 };
 
 struct end_member_lease {
     std::uint64_t call = 0;
-    platform::lease_id lease = 0;
+    external::lease_id lease = 0;
 };
 
 struct read_member_key {
@@ -55,7 +55,7 @@
 
 struct write_member_key {
     std::uint64_t call = 0;
-    platform::write_request request;
+    external::write_request request;
 };
 
 struct list_members {
@@ -64,7 +64,7 @@
 
 struct watch_members {
     std::uint64_t call = 0;
-    platform::revision after = 0;
+    external::revision after = 0;
 };
 
 //! \brief The heartbeat is due.
@@ -92,13 +92,13 @@
     session_actions wake(utils::time_point now, std::uint64_t random);
     utils::time_point nextWake() const;
 
-    session_actions leaseGranted(std::uint64_t call, const absl::StatusOr<platform::lease_id>& answer, utils::time_point now, std::uint64_t random);
+    session_actions leaseGranted(std::uint64_t call, const absl::StatusOr<external::lease_id>& answer, utils::time_point now, std::uint64_t random);
     session_actions leaseRenewed(std::uint64_t call, const absl::Status& answer, utils::time_point now, std::uint64_t random);
     session_actions leaseEnded(std::uint64_t call);
-    session_actions keyRead(std::uint64_t call, const absl::StatusOr<platform::key_value>& answer, utils::time_point now, std::uint64_t random);
-    session_actions keyWritten(std::uint64_t call, const absl::StatusOr<platform::revision>& answer, utils::time_point now, std::uint64_t random);
-    session_actions membersListed(std::uint64_t call, const absl::StatusOr<platform::key_listing>& answer, utils::time_point now, std::uint64_t random);
-    session_actions membersChanged(std::uint64_t call, const absl::StatusOr<platform::watch_result>& answer, utils::time_point now, std::uint64_t random);
+    session_actions keyRead(std::uint64_t call, const absl::StatusOr<external::key_value>& answer, utils::time_point now, std::uint64_t random);
+    session_actions keyWritten(std::uint64_t call, const absl::StatusOr<external::revision>& answer, utils::time_point now, std::uint64_t random);
+    session_actions membersListed(std::uint64_t call, const absl::StatusOr<external::key_listing>& answer, utils::time_point now, std::uint64_t random);
+    session_actions membersChanged(std::uint64_t call, const absl::StatusOr<external::watch_result>& answer, utils::time_point now, std::uint64_t random);
 
     //! \brief A message of the peer arrived.
     void heard(const std::string& peer, utils::time_point now);
@@ -147,7 +147,7 @@
     // The own lease and key
     std::uint64_t m_joinCall = 0;
     std::uint64_t m_renewCall = 0;
-    platform::lease_id m_lease = 0;
+    external::lease_id m_lease = 0;
     utils::time_point m_asked;
     utils::time_point m_leaseEnd;
     utils::time_point m_joinAt = utils::time_point::max();
@@ -158,7 +158,7 @@
     std::uint64_t m_viewCall = 0;
     utils::time_point m_listAt = utils::time_point::max();
     unsigned m_viewFailures = 0;
-    platform::revision m_revision = 0;
+    external::revision m_revision = 0;
     std::map<std::string, member> m_members;
     std::map<std::string, utils::time_point> m_lastHeard;
     utils::time_point m_heartbeatAt = utils::time_point::max();
--- a/src/libs/membership/session_driver.cpp
+++ b/src/libs/membership/session_driver.cpp
@@ -15,7 +15,7 @@
 
 class session_driver::implementation : public std::enable_shared_from_this<implementation> {
 public:
-    implementation(platform::key_value_store& store, utils::executor& loop, member self, session_settings settings, std::uint64_t seed, session_observer observer)
+    implementation(external::key_value_store& store, utils::executor& loop, member self, session_settings settings, std::uint64_t seed, session_observer observer)
         : m_store(store)
         , m_loop(loop)
         , m_session(std::move(self), settings)
@@ -124,7 +124,7 @@
         });
     }
 
-    platform::key_value_store& m_store;
+    external::key_value_store& m_store;
     utils::executor& m_loop;
     member_session m_session;
     session_settings m_settings;
@@ -133,7 +133,7 @@
     utils::time_point m_wakeAt = utils::time_point::max();
 };
 
-session_driver::session_driver(platform::key_value_store& store, utils::executor& loop, member self, session_settings settings, std::uint64_t seed, session_observer observer)
+session_driver::session_driver(external::key_value_store& store, utils::executor& loop, member self, session_settings settings, std::uint64_t seed, session_observer observer)
     : m_implementation(std::make_shared<implementation>(store, loop, std::move(self), settings, seed, std::move(observer)))
 {
 }
--- a/src/libs/membership/session_driver.h
+++ b/src/libs/membership/session_driver.h
@@ -3,8 +3,8 @@
 #include <functional>
 #include <memory>
 
+#include "external/key_value_store.h"
 #include "membership/member_session.h"
-#include "platform/key_value_store.h"
 #include "utils/executor.h"
 
 namespace camphorsaddle::membership {
@@ -19,7 +19,7 @@
 //! \brief Carries a session's actions to the store and the answers back.
 class session_driver {
 public:
-    session_driver(platform::key_value_store& store, utils::executor& loop, member self, session_settings settings, std::uint64_t seed, session_observer observer);
+    session_driver(external::key_value_store& store, utils::executor& loop, member self, session_settings settings, std::uint64_t seed, session_observer observer);
     ~session_driver();
     session_driver(const session_driver&) = delete;
     session_driver& operator=(const session_driver&) = delete;
--- a/src/libs/request_keys/key_owner.cpp
+++ b/src/libs/request_keys/key_owner.cpp
@@ -7,7 +7,7 @@
 
 namespace camphorsaddle::request_keys {
 
-key_owner::key_owner(platform::key_value_store& store, journal::executor& loop, journal::write_budget& budget, owner_settings settings, wall_clock clock)
+key_owner::key_owner(external::key_value_store& store, journal::executor& loop, journal::write_budget& budget, owner_settings settings, wall_clock clock)
     : m_settings(std::move(settings))
     , m_clock(std::move(clock))
     , m_table(m_settings.lifetime)
--- a/src/libs/request_keys/key_owner.h
+++ b/src/libs/request_keys/key_owner.h
@@ -34,7 +34,7 @@
     using claim_callback = std::function<void(claim_result)>;
     using wall_clock = std::function<wall_milliseconds()>;
 
-    key_owner(platform::key_value_store& store, journal::executor& loop, journal::write_budget& budget, owner_settings settings, wall_clock clock);
+    key_owner(external::key_value_store& store, journal::executor& loop, journal::write_budget& budget, owner_settings settings, wall_clock clock);
     ~key_owner() override;
 
     //! \brief Takes the shard over.
--- a/src/libs/utils/events.h
+++ b/src/libs/utils/events.h
@@ -43,6 +43,7 @@
     inline constexpr event processStopping { 101, event_severity::Info, "process_stopping", "A stop signal arrived; the daemon drains." };
     inline constexpr event processStopped { 102, event_severity::Info, "process_stopped", "Every task has ended." };
     inline constexpr event listening { 103, event_severity::Info, "listening", "A task accepts connections at the address." };
+    inline constexpr event processReloaded { 104, event_severity::Info, "process_reloaded", "The settings file was announced as changed." };
     inline constexpr event undeclaredTransition { 110, event_severity::Error, "undeclared_transition", "A state chart has no transition for the event in the current state." };
 
     // 200-299: gateway
@@ -80,6 +81,30 @@
     inline constexpr event journalDeposed { 702, event_severity::Warning, "journal_deposed", "Another writer holds a later epoch of the journal." };
     inline constexpr event journalCorrupt { 703, event_severity::Error, "journal_corrupt", "A journal record failed its check and was not applied." };
 
+    // 800-899: jobs
+    inline constexpr event leadTaken { 800, event_severity::Info, "lead_taken", "This daemon leads from the term on." };
+    inline constexpr event leadLost { 801, event_severity::Warning, "lead_lost", "This daemon no longer leads." };
+    inline constexpr event leaderSeen { 802, event_severity::Info, "leader_seen", "The store names a leader." };
+    inline constexpr event leaderGone { 803, event_severity::Warning, "leader_gone", "The leader's key is gone from the store." };
+    inline constexpr event candidacyLost { 804, event_severity::Info, "candidacy_lost", "Another daemon became leader." };
+    inline constexpr event leaseNotRenewed { 805, event_severity::Warning, "lease_not_renewed", "The leader's lease could not be renewed in time." };
+    inline constexpr event leaseNotEnded { 806, event_severity::Warning, "lease_not_ended", "A lease could not be ended; it ends by itself." };
+    inline constexpr event termLoaded { 807, event_severity::Info, "term_loaded", "The new leader has read all jobs." };
+    inline constexpr event leaderSilent { 808, event_severity::Warning, "leader_silent", "The leader did not answer a call in time; the store is asked." };
+    inline constexpr event jobCourse { 810, event_severity::Info, "job_course", "The engine decided or learned something about a run, a worker or a job." };
+    inline constexpr event jobSettled { 811, event_severity::Info, "job_settled", "A submission was stored, refused or left open." };
+    inline constexpr event jobCancelled { 812, event_severity::Info, "job_cancelled", "A cancellation was decided." };
+    inline constexpr event jobAdopted { 813, event_severity::Info, "job_adopted", "The leader took up a job or cancellation that was stored without it." };
+    inline constexpr event jobNotErased { 814, event_severity::Warning, "job_not_erased", "A key of a forgotten job stays in the store." };
+    inline constexpr event callAnswered { 815, event_severity::Info, "call_answered", "A caller's request about a job was answered." };
+    inline constexpr event workerAnnounced { 820, event_severity::Info, "worker_announced", "The directory has a new or changed entry of a worker." };
+    inline constexpr event workerWithdrawn { 821, event_severity::Info, "worker_withdrawn", "A worker's entry is gone from the directory." };
+    inline constexpr event workerEntryRejected { 822, event_severity::Warning, "worker_entry_rejected", "An entry of the directory names no worker." };
+    inline constexpr event watchInterrupted { 830, event_severity::Warning, "watch_interrupted", "A watch of the store ended without an answer; the prefix is listed again." };
+    inline constexpr event storedValueUnreadable { 831, event_severity::Error, "stored_value_unreadable", "A value in the store is no record that this program wrote." };
+    inline constexpr event peerMessageDropped { 832, event_severity::Warning, "peer_message_dropped", "A message between daemons was not sent or not understood." };
+    inline constexpr event peerAnswerUnreadable { 833, event_severity::Warning, "peer_answer_unreadable", "An answer of an outside system was not understood." };
+
 } // namespace events
 
 } // namespace camphorsaddle::utils
--- /dev/null
+++ b/src/libs/utils/overloaded.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace camphorsaddle::utils {
+
+//! \brief Combines lambdas to one visitor.
+template <typename... Functions>
+struct overloaded : Functions... {
+    using Functions::operator()...;
+};
+
+template <typename... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
+} // namespace camphorsaddle::utils
--- a/src/tasks/configurator/configurator_task.cpp
+++ b/src/tasks/configurator/configurator_task.cpp
@@ -196,7 +196,7 @@
 
 void configurator_task::readStore()
 {
-    m_store.list(std::string(recordKey), {}, 1, [this](const absl::StatusOr<platform::key_listing>& listing) {
+    m_store.list(std::string(recordKey), {}, 1, [this](const absl::StatusOr<external::key_listing>& listing) {
         const auto now = loop().now();
         if (!listing.ok())
             perform(m_spread.onRead(listing.status(), 0, now));
@@ -210,9 +210,9 @@
     });
 }
 
-void configurator_task::watchStore(platform::revision after)
+void configurator_task::watchStore(external::revision after)
 {
-    m_store.watch(std::string(recordKey), after, watchWait, [this](const absl::StatusOr<platform::watch_result>& result) {
+    m_store.watch(std::string(recordKey), after, watchWait, [this](const absl::StatusOr<external::watch_result>& result) {
         if (!result.ok()) {
             perform(m_spread.onWatched(result.status(), nullptr, loop().now()));
             return;
@@ -330,15 +330,15 @@
 
 void configurator_task::readForEdit(const std::shared_ptr<pending_edit>& pending)
 {
-    m_store.read(std::string(recordKey), [this, pending](const absl::StatusOr<platform::key_value>& stored) {
+    m_store.read(std::string(recordKey), [this, pending](const absl::StatusOr<external::key_value>& stored) {
         performEdit(pending, pending->process.onRead(configuration::parseStored(stored), loop().now(), std::chrono::system_clock::now()));
     });
 }
 
 void configurator_task::writeForEdit(const std::shared_ptr<pending_edit>& pending, const configuration::write_record& write)
 {
-    const platform::write_request request { std::string(recordKey), settings::formatRecord(write.record), write.expectedVersion, 0 };
-    m_store.write(request, [this, pending](const absl::StatusOr<platform::revision>& written) {
+    const external::write_request request { std::string(recordKey), settings::formatRecord(write.record), write.expectedVersion, 0 };
+    m_store.write(request, [this, pending](const absl::StatusOr<external::revision>& written) {
         performEdit(pending, pending->process.onWritten(written, loop().now()));
     });
 }
--- a/src/tasks/configurator/configurator_task.h
+++ b/src/tasks/configurator/configurator_task.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "configuration/spread.h"
-#include "platform/http_key_value_store.h"
+#include "external/http_key_value_store.h"
 #include "tasks/task.h"
 
 namespace camphorsaddle::tasks {
@@ -28,7 +28,7 @@
     void receive(const protocol::PeerEnvelope& envelope);
     void perform(const configuration::spread_actions& actions);
     void readStore();
-    void watchStore(platform::revision after);
+    void watchStore(external::revision after);
     void applyRecord();
     void sendRecord(const std::string& receiver);
 
@@ -44,7 +44,7 @@
     void reply(std::uint64_t ticket, transport::http_response response);
 
     std::unique_ptr<transport::http_client> m_client;
-    platform::http_key_value_store m_store;
+    external::http_key_value_store m_store;
     transport::timer m_tickTimer;
     configuration::spread m_spread;
     membership::member_view m_members;
--- a/src/tasks/gateway/gateway_task.h
+++ b/src/tasks/gateway/gateway_task.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/http_host_directory.h"
+#include "external/http_host_directory.h"
 #include "routing/request_queue.h"
 #include "routing/retry_policy.h"
 #include "tasks/gateway/key_claims.h"
@@ -52,7 +52,7 @@
     void readHosts();
 
     std::unique_ptr<transport::http_client> m_client;
-    platform::http_host_directory m_directory;
+    external::http_host_directory m_directory;
     std::unique_ptr<transport::http_server> m_server;
     transport::timer m_hostsTimer;
     transport::timer m_deadlineTimer;
--- /dev/null
+++ b/src/tasks/job_front/job_front_task.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "tasks/coordinator/coordinator_messages.h"
+#include "tasks/coordinator/job_daemon_settings.h"
+#include "tasks/loop_task.h"
+#include "transport/http_server.h"
+
+namespace camphorsaddle::tasks {
+
+//! \brief Takes callers' requests about jobs over HTTP and answers them by what the coordinator says.
+class job_front_task : public loop_task {
+public:
+    job_front_task(job_daemon_context& context, job_daemon_settings settings, const deployment& format);
+    ~job_front_task() override;
+
+    absl::Status open() override;
+
+protected:
+    void close() override;
+
+private:
+    struct open_request;
+
+    void onMessage(const job_front_message& message);
+    void onRequest(transport::http_request request, const transport::http_responder& responder);
+    void respond(const open_request& request, const job_reply& reply);
+    void refuse(const transport::http_request& request, const transport::http_responder& responder, int status, const std::string& reason);
+    void send(const transport::http_responder& responder, int status, std::string body, utils::milliseconds retryAfter);
+    void beginStop();
+    void checkStop();
+    absl::StatusOr<std::unique_ptr<transport::http_server>> listen(const listen_address& address, transport::http_server::handler handle);
+
+    job_daemon_context& m_context;
+    job_daemon_settings m_settings;
+    const deployment& m_format;
+    std::unique_ptr<transport::http_server> m_front;
+    std::unique_ptr<transport::http_server> m_readiness;
+    std::unique_ptr<transport::http_server> m_metricsPage;
+    std::shared_ptr<const jobs::deployment_rules> m_rules;
+    std::map<std::uint64_t, open_request> m_open;
+    std::uint64_t m_nextTicket = 1;
+    bool m_canServe = false;
+    std::optional<utils::time_point> m_stoppingSince;
+    utils::time_point m_lastRequest;
+    transport::timer m_stopCheck;
+    utils::reason_counters<call_outcome, callOutcomeCount> m_outcomes;
+    utils::distribution& m_answerTimes;
+};
+
+} // namespace camphorsaddle::tasks
--- a/src/tasks/keys/keys_task.h
+++ b/src/tasks/keys/keys_task.h
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
+#include "external/guarded_store.h"
+#include "external/http_key_value_store.h"
 #include "journal/write_budget.h"
 #include "membership/assignment.h"
-#include "platform/guarded_store.h"
-#include "platform/http_key_value_store.h"
 #include "request_keys/key_owner.h"
 #include "tasks/loop_executor.h"
 #include "tasks/task.h"
@@ -43,9 +43,9 @@
     std::string ownerIdOf(const std::string& key) const;
 
     std::unique_ptr<transport::http_client> m_client;
-    platform::http_key_value_store m_httpStore;
+    external::http_key_value_store m_httpStore;
     loop_executor m_executor;
-    platform::guarded_store m_store;
+    external::guarded_store m_store;
     journal::write_budget m_budget;
     std::vector<membership::shard_place> m_places;
     membership_changed m_membership;
--- a/src/tasks/membership/membership_task.h
+++ b/src/tasks/membership/membership_task.h
@@ -4,9 +4,9 @@
 #include <memory>
 #include <string>
 
+#include "external/guarded_store.h"
+#include "external/http_key_value_store.h"
 #include "membership/session_driver.h"
-#include "platform/guarded_store.h"
-#include "platform/http_key_value_store.h"
 #include "tasks/loop_executor.h"
 #include "tasks/task.h"
 
@@ -36,9 +36,9 @@
 
     membership::member m_self;
     std::unique_ptr<transport::http_client> m_client;
-    platform::http_key_value_store m_httpStore;
+    external::http_key_value_store m_httpStore;
     loop_executor m_executor;
-    platform::guarded_store m_store;
+    external::guarded_store m_store;
     std::unique_ptr<transport::message_receiver> m_receiver;
     membership::session_driver m_session;
 
--- a/src/tasks/scheduler/scheduler_task.h
+++ b/src/tasks/scheduler/scheduler_task.h
@@ -5,12 +5,12 @@
 #include <string>
 #include <vector>
 
+#include "external/guarded_store.h"
+#include "external/http_host_directory.h"
+#include "external/http_key_value_store.h"
+#include "external/http_worker_control.h"
 #include "journal/write_budget.h"
 #include "membership/assignment.h"
-#include "platform/guarded_store.h"
-#include "platform/http_host_directory.h"
-#include "platform/http_key_value_store.h"
-#include "platform/http_worker_control.h"
 #include "tasks/loop_executor.h"
 #include "tasks/scheduler/job_api.h"
 #include "tasks/scheduler/shard_owner.h"
@@ -50,11 +50,11 @@
     bool canEverRun(const model::resources& size) const;
 
     std::unique_ptr<transport::http_client> m_client;
-    platform::http_key_value_store m_httpStore;
-    platform::http_worker_control m_workers;
-    platform::http_host_directory m_directory;
+    external::http_key_value_store m_httpStore;
+    external::http_worker_control m_workers;
+    external::http_host_directory m_directory;
     loop_executor m_executor;
-    platform::guarded_store m_store;
+    external::guarded_store m_store;
     journal::write_budget m_budget;
     transport::timer m_hostsTimer;
     transport::timer m_driveTimer;
--- a/src/tasks/scheduler/shard_owner.cpp
+++ b/src/tasks/scheduler/shard_owner.cpp
@@ -18,7 +18,7 @@
         return { cluster.workerLease, cluster.renewalInterval, cluster.renewalHorizon, cluster.clockAllowance, environment.workerTimeout };
     }
 
-    placement::attempt_status statusOf(const platform::attempt_report& report)
+    placement::attempt_status statusOf(const external::attempt_report& report)
     {
         return { { report.key.task, report.key.attempt }, report.key.epoch, static_cast<placement::attempt_phase>(report.state), report.checkpoint, report.cause };
     }
@@ -30,11 +30,11 @@
         return absl::IsFailedPrecondition(status) || absl::IsUnavailable(status) ? start_outcome::Refused : start_outcome::Unknown;
     }
 
-    stop_outcome outcomeOf(const absl::StatusOr<platform::stop_result>& result)
+    stop_outcome outcomeOf(const absl::StatusOr<external::stop_result>& result)
     {
         if (!result.ok())
             return stop_outcome::Unknown;
-        return *result == platform::stop_result::Absent ? stop_outcome::Absent : stop_outcome::Stopped;
+        return *result == external::stop_result::Absent ? stop_outcome::Absent : stop_outcome::Stopped;
     }
 
     void logEnd(const placement::task_ended& ended, const placement::shard_state& state)
@@ -173,12 +173,12 @@
     });
 }
 
-platform::start_command shard_owner::startCommand(const placement::start_attempt& command) const
+external::start_command shard_owner::startCommand(const placement::start_attempt& command) const
 {
     const auto& placed = command.placed;
     const auto& kind = m_coordinator.state().findJob(placed.task.job)->kind;
     const auto known = m_configuration->batchKinds.find(kind);
-    platform::start_command message;
+    external::start_command message;
     message.key = { formatTask(placed.task), placed.attempt, m_log->epoch() };
     message.shard = m_name;
     message.kind = kind;
@@ -211,7 +211,7 @@
     const auto* worker = m_coordinator.findWorker(command.worker);
     if (worker == nullptr)
         return;
-    m_environment.workers.inventory(*worker, answered([this, name = command.worker](const absl::StatusOr<platform::worker_inventory>& inventory) {
+    m_environment.workers.inventory(*worker, answered([this, name = command.worker](const absl::StatusOr<external::worker_inventory>& inventory) {
         if (inventory.ok())
             onReport(name, inventory->tasks);
         else
@@ -227,10 +227,10 @@
         m_coordinator.onReport(command.worker, std::nullopt, now);
         return;
     }
-    platform::renew_command message { m_name, m_log->epoch(), m_environment.cluster.workerLease, {} };
+    external::renew_command message { m_name, m_log->epoch(), m_environment.cluster.workerLease, {} };
     for (const auto& name : command.acknowledged)
         message.acknowledged.push_back({ name.task, name.attempt, m_log->epoch() });
-    m_environment.workers.renew(*worker, message, answered([this, name = command.worker](const absl::StatusOr<platform::worker_report>& report) {
+    m_environment.workers.renew(*worker, message, answered([this, name = command.worker](const absl::StatusOr<external::worker_report>& report) {
         if (report.ok())
             onReport(name, report->tasks);
         else
@@ -243,7 +243,7 @@
     const auto* worker = m_coordinator.findWorker(command.worker);
     if (worker == nullptr)
         return;
-    const platform::attempt_key key { formatTask(command.task), command.attempt, m_log->epoch() };
+    const external::attempt_key key { formatTask(command.task), command.attempt, m_log->epoch() };
     m_environment.workers.checkpoint(*worker, key, answered([this, task = command.task, attempt = command.attempt](const absl::StatusOr<std::string>& checkpoint) {
         m_coordinator.onCheckpoint(task, attempt, checkpoint.ok() ? std::optional(*checkpoint) : std::nullopt);
     }));
@@ -258,8 +258,8 @@
             m_coordinator.onStopped(*command.task, command.name.attempt, stop_outcome::Unknown, now);
         return;
     }
-    const platform::attempt_key key { command.name.task, command.name.attempt, m_log->epoch() };
-    m_environment.workers.stop(*worker, key, answered([this, task = command.task, attempt = command.name.attempt](const absl::StatusOr<platform::stop_result>& result) {
+    const external::attempt_key key { command.name.task, command.name.attempt, m_log->epoch() };
+    m_environment.workers.stop(*worker, key, answered([this, task = command.task, attempt = command.name.attempt](const absl::StatusOr<external::stop_result>& result) {
         if (task.has_value())
             m_coordinator.onStopped(*task, attempt, outcomeOf(result), m_environment.executor.now());
     }));
@@ -270,7 +270,7 @@
 {
 }
 
-void shard_owner::onReport(const std::string& worker, const absl::StatusOr<std::vector<platform::attempt_report>>& reports)
+void shard_owner::onReport(const std::string& worker, const absl::StatusOr<std::vector<external::attempt_report>>& reports)
 {
     const auto now = m_environment.executor.now();
     if (!reports.ok()) {
--- a/src/tasks/scheduler/shard_owner.h
+++ b/src/tasks/scheduler/shard_owner.h
@@ -4,17 +4,17 @@
 #include <string>
 #include <vector>
 
+#include "external/worker_control.h"
 #include "journal/log.h"
 #include "placement/shard_coordinator.h"
-#include "platform/worker_control.h"
 #include "settings/process_settings.h"
 
 namespace camphorsaddle::tasks {
 
 //! \brief What a shard owner uses; all of it outlives the owner.
 struct shard_environment {
-    platform::key_value_store& store;
-    platform::worker_control& workers;
+    external::key_value_store& store;
+    external::worker_control& workers;
     journal::executor& executor;
     journal::write_budget& budget;
     const settings::cluster_settings& cluster;
@@ -74,8 +74,8 @@
     void carryOut(const placement::take_checkpoint& command);
     void carryOut(const placement::stop_attempt& command);
     void carryOut(const placement::answer_home& command);
-    void onReport(const std::string& worker, const absl::StatusOr<std::vector<platform::attempt_report>>& reports);
-    platform::start_command startCommand(const placement::start_attempt& command) const;
+    void onReport(const std::string& worker, const absl::StatusOr<std::vector<external::attempt_report>>& reports);
+    external::start_command startCommand(const placement::start_attempt& command) const;
 
     //! Wraps an answer: it is dropped when the owner is gone, and its consequences are carried out.
     template <typename Handler>
--- a/tests/auto/configuration/tst_edit_process.cpp
+++ b/tests/auto/configuration/tst_edit_process.cpp
@@ -114,12 +114,12 @@
     TEST(parseStored, KeepsErrorsAndReadsRecords)
     {
         const auto stored = storedAfter({ baseEdit(0, "a") });
-        const auto parsed = parseStored(platform::key_value { "config/current", 9, settings::formatRecord(stored.record) });
+        const auto parsed = parseStored(external::key_value { "config/current", 9, settings::formatRecord(stored.record) });
         ASSERT_TRUE(parsed.ok());
         EXPECT_EQ(parsed->record, stored.record);
         EXPECT_EQ(parsed->version, 9U);
         EXPECT_TRUE(absl::IsNotFound(parseStored(absl::NotFoundError("none")).status()));
-        EXPECT_TRUE(absl::IsDataLoss(parseStored(platform::key_value { "config/current", 9, "{" }).status()));
+        EXPECT_TRUE(absl::IsDataLoss(parseStored(external::key_value { "config/current", 9, "{" }).status()));
     }
 
     TEST(difference, OfTextsThatAreNoJsonIsNull)
--- a/tests/auto/platform/tst_guarded_store.cpp
+++ b/tests/auto/external/tst_guarded_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/guarded_store.h"
+#include "external/guarded_store.h"
 
 #include <algorithm>
 #include <map>
@@ -7,7 +7,7 @@
 #include "standins/fake_store.h"
 #include "gtest/gtest.h"
 
-namespace camphorsaddle::platform {
+namespace camphorsaddle::external {
 
 namespace {
 
@@ -134,4 +134,4 @@
 
 } // namespace
 
-} // namespace camphorsaddle::platform
+} // namespace camphorsaddle::external
--- a/tests/auto/journal/tst_log_interleavings.cpp
+++ b/tests/auto/journal/tst_log_interleavings.cpp
@@ -244,8 +244,8 @@
         standins::fake_database m_database { m_clock };
         std::map<std::string, std::vector<absl::StatusCode>> m_answers;
         std::vector<std::unique_ptr<session>> m_sessions;
-        platform::key_value m_original;
-        platform::key_value m_corrupt;
+        external::key_value m_original;
+        external::key_value m_corrupt;
     };
 
     rc::Gen<std::vector<step>> steps()
--- a/tests/auto/membership/tst_member_session.cpp
+++ b/tests/auto/membership/tst_member_session.cpp
@@ -4,8 +4,8 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "external/guarded_store.h"
 #include "membership/assignment.h"
-#include "platform/guarded_store.h"
 #include "standins/fake_store.h"
 #include "standins/pausable_loop.h"
 #include "gtest/gtest.h"
@@ -27,7 +27,7 @@
         standins::fake_store store;
         standins::pausable_loop loop;
         utils::metric_registry metrics;
-        platform::guarded_store guard;
+        external::guarded_store guard;
         std::vector<membership_report> reports;
         bool isMute = false;
         bool hasLeft = false;
--- a/tests/auto/tasks/tst_metrics_page.cpp
+++ b/tests/auto/tasks/tst_metrics_page.cpp
@@ -3,8 +3,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "access/access_policy.h"
-#include "platform/guarded_store.h"
-#include "platform/store_call.h"
+#include "external/guarded_store.h"
+#include "external/store_call.h"
 #include "tasks/gateway/minion_table.h"
 #include "tasks/gateway/request_state.h"
 #include "gtest/gtest.h"
@@ -60,8 +60,8 @@
         expectReasons<routing::retry_reason, routing::retryReasonCount>(page, "retried");
         expectReasons<routing::ejection_reason, routing::ejectionReasonCount>(page, "ejected");
         expectReasons<discard_reason, discardReasonCount>(page, "discarded");
-        expectReasons<platform::store_call, platform::storeCallCount>(page, "store calls");
-        expectReasons<platform::guard_event, platform::guardEventCount>(page, "guard events");
+        expectReasons<external::store_call, external::storeCallCount>(page, "store calls");
+        expectReasons<external::guard_event, external::guardEventCount>(page, "guard events");
         expectReasons<access::administration_refusal, access::administrationRefusalCount>(page, "administration");
     }
 
--- a/tests/standins/fake_store.h
+++ b/tests/standins/fake_store.h
@@ -38,30 +38,30 @@
     {
     }
 
-    absl::StatusOr<platform::key_value> read(const std::string& key) const
+    absl::StatusOr<external::key_value> read(const std::string& key) const
     {
         const auto found = m_content.entries().find(key);
         if (found == m_content.entries().end())
             return absl::NotFoundError(key);
-        return platform::key_value { key, found->second.version, found->second.value };
+        return external::key_value { key, found->second.version, found->second.value };
     }
 
-    platform::key_listing list(const std::string& prefix, const std::string& start, std::size_t limit) const
+    external::key_listing list(const std::string& prefix, const std::string& start, std::size_t limit) const
     {
         return { m_content.revision(), m_content.list(prefix, start, limit) };
     }
 
-    absl::StatusOr<platform::revision> write(const platform::write_request& request)
+    absl::StatusOr<external::revision> write(const external::write_request& request)
     {
         return complete(request.key, m_content.write(request));
     }
 
-    absl::StatusOr<platform::revision> erase(const std::string& key, platform::revision expectedVersion)
+    absl::StatusOr<external::revision> erase(const std::string& key, external::revision expectedVersion)
     {
         return complete(key, m_content.erase(key, expectedVersion));
     }
 
-    absl::StatusOr<platform::lease_id> grantLease(utils::milliseconds term)
+    absl::StatusOr<external::lease_id> grantLease(utils::milliseconds term)
     {
         const auto lease = m_content.grantLease(term, m_clock.now());
         m_terms[lease] = term;
@@ -69,7 +69,7 @@
         return lease;
     }
 
-    absl::Status renewLease(platform::lease_id lease)
+    absl::Status renewLease(external::lease_id lease)
     {
         if (!m_content.renewLease(lease, m_clock.now()))
             return absl::FailedPreconditionError("the lease has ended");
@@ -77,14 +77,14 @@
         return absl::OkStatus();
     }
 
-    absl::Status endLease(platform::lease_id lease)
+    absl::Status endLease(external::lease_id lease)
     {
         m_content.endLease(lease);
         answerWatches();
         return absl::OkStatus();
     }
 
-    void watch(const std::string& prefix, platform::revision after, utils::milliseconds wait, platform::store_callback<platform::watch_result> callback)
+    void watch(const std::string& prefix, external::revision after, utils::milliseconds wait, external::store_callback<external::watch_result> callback)
     {
         auto present = changesAfter(prefix, after);
         if (!present.changes.empty())
@@ -94,18 +94,18 @@
         m_clock.callLater(wait, [this, weak = std::weak_ptr<waiting_watch>(waiting)] {
             const auto ended = weak.lock();
             if (ended && std::erase(m_watches, ended) > 0)
-                ended->callback(platform::watch_result { m_content.revision(), {} });
+                ended->callback(external::watch_result { m_content.revision(), {} });
         });
     }
 
 private:
     struct waiting_watch {
         std::string prefix;
-        platform::revision after = 0;
-        platform::store_callback<platform::watch_result> callback;
+        external::revision after = 0;
+        external::store_callback<external::watch_result> callback;
     };
 
-    absl::StatusOr<platform::revision> complete(const std::string& key, const store_result& result)
+    absl::StatusOr<external::revision> complete(const std::string& key, const store_result& result)
     {
         answerWatches();
         switch (result.outcome) {
@@ -121,7 +121,7 @@
         return absl::FailedPreconditionError("the lease has ended");
     }
 
-    platform::watch_result changesAfter(const std::string& prefix, platform::revision after) const
+    external::watch_result changesAfter(const std::string& prefix, external::revision after) const
     {
         return { m_content.revision(), *m_content.changesAfter(prefix, after) };
     }
@@ -146,12 +146,12 @@
 
     virtual_clock& m_clock;
     store m_content { std::numeric_limits<std::size_t>::max() };
-    std::map<platform::lease_id, utils::milliseconds> m_terms;
+    std::map<external::lease_id, utils::milliseconds> m_terms;
     std::list<std::shared_ptr<waiting_watch>> m_watches;
 };
 
 //! \brief One client's connection to a fake database, with faults of its own and a fixed seed.
-class fake_store final : public platform::key_value_store {
+class fake_store final : public external::key_value_store {
 public:
     fake_store(virtual_clock& clock, fake_database& database, unsigned seed = 1)
         : m_clock(clock)
@@ -170,7 +170,7 @@
             m_clock.callLater(utils::milliseconds(0), std::move(answer));
     }
 
-    void read(const std::string& key, platform::store_callback<platform::key_value> callback) override
+    void read(const std::string& key, external::store_callback<external::key_value> callback) override
     {
         ++reads;
         call([=, this] {
@@ -181,23 +181,23 @@
             callback);
     }
 
-    void list(const std::string& prefix, const std::string& start, std::size_t limit, platform::store_callback<platform::key_listing> callback) override
+    void list(const std::string& prefix, const std::string& start, std::size_t limit, external::store_callback<external::key_listing> callback) override
     {
         ++reads;
         call([=, this] {
             auto listing = m_database.list(prefix, start, limit);
             for (const auto& entry : listing.entries)
                 readBytes += entry.value.size();
-            return absl::StatusOr<platform::key_listing>(std::move(listing));
+            return absl::StatusOr<external::key_listing>(std::move(listing));
         },
             callback);
     }
 
-    void write(const platform::write_request& request, platform::store_callback<platform::revision> callback) override
+    void write(const external::write_request& request, external::store_callback<external::revision> callback) override
     {
         ++writes;
         writtenBytes += request.value.size();
-        call([=, this, largest = faults.largestValue]() -> absl::StatusOr<platform::revision> {
+        call([=, this, largest = faults.largestValue]() -> absl::StatusOr<external::revision> {
             if (request.value.size() > largest)
                 return absl::InvalidArgumentError("the value is too large");
             return m_database.write(request);
@@ -205,32 +205,32 @@
             callback);
     }
 
-    void erase(const std::string& key, platform::revision expectedVersion, platform::store_callback<platform::revision> callback) override
+    void erase(const std::string& key, external::revision expectedVersion, external::store_callback<external::revision> callback) override
     {
         call([=, this] { return m_database.erase(key, expectedVersion); }, callback);
     }
 
-    void grantLease(utils::milliseconds term, platform::store_callback<platform::lease_id> callback) override
+    void grantLease(utils::milliseconds term, external::store_callback<external::lease_id> callback) override
     {
         call([=, this] { return m_database.grantLease(term); }, callback);
     }
 
-    void renewLease(platform::lease_id lease, std::function<void(absl::Status)> callback) override
+    void renewLease(external::lease_id lease, std::function<void(absl::Status)> callback) override
     {
         call([=, this] { return m_database.renewLease(lease); }, callback);
     }
 
-    void endLease(platform::lease_id lease, std::function<void(absl::Status)> callback) override
+    void endLease(external::lease_id lease, std::function<void(absl::Status)> callback) override
     {
         call([=, this] { return m_database.endLease(lease); }, callback);
     }
 
-    void watch(const std::string& prefix, platform::revision after, utils::milliseconds wait, platform::store_callback<platform::watch_result> callback) override
+    void watch(const std::string& prefix, external::revision after, utils::milliseconds wait, external::store_callback<external::watch_result> callback) override
     {
         if (faults.isOut)
             return m_clock.callLater(utils::milliseconds(1), [callback] { callback(absl::UnavailableError("the store is out")); });
         m_clock.callLater(delay(faults.longestDelay), [=, this] {
-            m_database.watch(prefix, after, wait, [this, callback](const absl::StatusOr<platform::watch_result>& result) {
+            m_database.watch(prefix, after, wait, [this, callback](const absl::StatusOr<external::watch_result>& result) {
                 // A watch that is open when an outage begins brings nothing more.
                 const auto seen = faults.isOut ? absl::UnavailableError("the store is out") : result;
                 deliverAfter(delay(faults.longestDelay), [callback, seen] { callback(seen); });
--- a/tests/standins/store.h
+++ b/tests/standins/store.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "absl/strings/match.h"
-#include "platform/key_value_store.h"
+#include "external/key_value_store.h"
 
 namespace camphorsaddle::standins {
 
@@ -23,15 +23,15 @@
 struct store_result {
     store_outcome outcome = store_outcome::Done;
     //! New version when done, else the present one.
-    platform::revision version = 0;
+    external::revision version = 0;
 
     auto operator<=>(const store_result&) const = default;
 };
 
 struct store_entry {
     std::string value;
-    platform::revision version = 0;
-    platform::lease_id lease = 0;
+    external::revision version = 0;
+    external::lease_id lease = 0;
 };
 
 //! \brief The key-value service's content: revisions, compare-and-swap, leases and a bounded history.
@@ -42,7 +42,7 @@
     {
     }
 
-    platform::revision revision() const
+    external::revision revision() const
     {
         return m_revision;
     }
@@ -52,10 +52,10 @@
         return m_entries;
     }
 
-    store_result write(const platform::write_request& request)
+    store_result write(const external::write_request& request)
     {
         const auto found = m_entries.find(request.key);
-        const platform::revision present = found == m_entries.end() ? 0 : found->second.version;
+        const external::revision present = found == m_entries.end() ? 0 : found->second.version;
         if (present != request.expectedVersion)
             return { store_outcome::VersionDiffers, present };
         if (request.lease != 0 && !m_leases.contains(request.lease))
@@ -65,7 +65,7 @@
         return { store_outcome::Done, m_revision };
     }
 
-    store_result erase(const std::string& key, platform::revision expectedVersion)
+    store_result erase(const std::string& key, external::revision expectedVersion)
     {
         const auto found = m_entries.find(key);
         if (found == m_entries.end())
@@ -78,9 +78,9 @@
     }
 
     //! \brief Entries with the prefix from \a start on, at most \a limit (0: all).
-    std::vector<platform::key_value> list(const std::string& prefix, const std::string& start, std::size_t limit) const
+    std::vector<external::key_value> list(const std::string& prefix, const std::string& start, std::size_t limit) const
     {
-        std::vector<platform::key_value> result;
+        std::vector<external::key_value> result;
         for (auto next = m_entries.lower_bound(std::max(prefix, start)); next != m_entries.end() && absl::StartsWith(next->first, prefix); ++next) {
             if (limit != 0 && result.size() == limit)
                 break;
@@ -89,13 +89,13 @@
         return result;
     }
 
-    platform::lease_id grantLease(utils::milliseconds term, utils::time_point now)
+    external::lease_id grantLease(utils::milliseconds term, utils::time_point now)
     {
         m_leases[++m_lastLease] = { term, now + term };
         return m_lastLease;
     }
 
-    bool renewLease(platform::lease_id lease, utils::time_point now)
+    bool renewLease(external::lease_id lease, utils::time_point now)
     {
         const auto found = m_leases.find(lease);
         if (found == m_leases.end() || found->second.end <= now)
@@ -104,7 +104,7 @@
         return true;
     }
 
-    bool endLease(platform::lease_id lease)
+    bool endLease(external::lease_id lease)
     {
         const bool isKnown = m_leases.erase(lease) > 0;
         std::erase_if(m_entries, [this, lease, isKnown](const auto& entry) {
@@ -119,7 +119,7 @@
     //! \brief Ends the leases whose term is over; returns whether there was any.
     bool expireLeases(utils::time_point now)
     {
-        std::vector<platform::lease_id> ended;
+        std::vector<external::lease_id> ended;
         for (const auto& [lease, state] : m_leases) {
             if (state.end <= now)
                 ended.push_back(lease);
@@ -130,14 +130,14 @@
     }
 
     //! \brief Changes with the prefix after a revision; none when the history no longer reaches back to it.
-    std::optional<std::vector<platform::key_change>> changesAfter(const std::string& prefix, platform::revision after) const
+    std::optional<std::vector<external::key_change>> changesAfter(const std::string& prefix, external::revision after) const
     {
         if (after < m_forgotten)
             return std::nullopt;
-        const auto isOlder = [](const auto& change, platform::revision version) {
+        const auto isOlder = [](const auto& change, external::revision version) {
             return change.version <= version;
         };
-        std::vector<platform::key_change> changes;
+        std::vector<external::key_change> changes;
         std::copy_if(std::lower_bound(m_history.begin(), m_history.end(), after, isOlder), m_history.end(), std::back_inserter(changes),
             [&prefix](const auto& change) { return absl::StartsWith(change.key, prefix); });
         return changes;
@@ -149,7 +149,7 @@
         utils::time_point end;
     };
 
-    void record(platform::key_change change)
+    void record(external::key_change change)
     {
         m_history.push_back(std::move(change));
         if (m_history.size() <= m_historyLimit)
@@ -159,13 +159,13 @@
     }
 
     std::size_t m_historyLimit;
-    platform::revision m_revision = 0;
-    platform::lease_id m_lastLease = 0;
+    external::revision m_revision = 0;
+    external::lease_id m_lastLease = 0;
     //! Revision of the newest change that left the history.
-    platform::revision m_forgotten = 0;
+    external::revision m_forgotten = 0;
     std::map<std::string, store_entry> m_entries;
-    std::map<platform::lease_id, lease_state> m_leases;
-    std::deque<platform::key_change> m_history;
+    std::map<external::lease_id, lease_state> m_leases;
+    std::deque<external::key_change> m_history;
 };
 
 } // namespace camphorsaddle::standins
--- a/tests/standins/store_service.cpp
+++ b/tests/standins/store_service.cpp
@@ -60,7 +60,7 @@
     private:
         struct pending_watch {
             std::string prefix;
-            platform::revision after = 0;
+            external::revision after = 0;
             utils::time_point deadline;
             http_responder responder;
         };
@@ -147,7 +147,7 @@
             absl::string_view rest(request.path);
             rest.remove_prefix(leasePath.size());
             const bool isRenewal = absl::ConsumeSuffix(&rest, "/renew");
-            platform::lease_id lease = 0;
+            external::lease_id lease = 0;
             if (!absl::SimpleAtoi(rest, &lease))
                 return refusal(400, "malformed lease");
             ++m_counts[isRenewal ? "renew" : "end"];
@@ -176,7 +176,7 @@
             if (changes && changes->empty() && m_delays.now() < watch.deadline)
                 return false;
             json events = json::array();
-            for (const auto& change : changes.value_or(std::vector<platform::key_change> {}))
+            for (const auto& change : changes.value_or(std::vector<external::key_change> {}))
                 events.push_back({ { "key", change.key }, { "version", change.version }, { "value", absl::Base64Escape(change.value) }, { "deleted", change.deleted } });
             send(watch.responder, changes ? jsonAnswer(200, { { "revision", m_store.revision() }, { "events", events } }) : refusal(410, "history forgotten"));
             return true;
