--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -68,7 +68,7 @@
 {
     if (m_jobs.contains(job.id))
         return;
-    refreshReadiness(insert(job, now));
+    refreshReadiness(insert(job, now), now);
 }
 
 void job_engine::restore(const job_spec& job, const job_progress& progress, bool isCancelled, utils::time_point now)
@@ -100,7 +100,7 @@
         std::erase(m_active, &state);
         return;
     }
-    refreshReadiness(state);
+    refreshReadiness(state, now);
 }
 
 void job_engine::beginTerm(const std::vector<std::string>& roster, utils::time_point now)
@@ -133,7 +133,7 @@
     return m_isRestoring && now < m_restoreUntil;
 }
 
-void job_engine::refreshReadiness(job_state& job)
+void job_engine::refreshReadiness(job_state& job, utils::time_point now)
 {
     for (std::size_t number = 0; number < job.steps.size(); ++number) {
         auto& step = job.steps[number];
@@ -142,6 +142,10 @@
         step.isReady = std::ranges::all_of(job.spec.steps[number].after, [&](unsigned before) {
             return job.steps[before].doneCount == job.steps[before].tasks.size();
         });
+        if (!step.isReady)
+            continue;
+        for (auto& task : step.tasks)
+            task.waitingSince = now;
     }
 }
 
@@ -219,7 +223,6 @@
         if (writes.size() >= limit)
             break;
         auto& job = *m_jobs.at(id);
-        job.storingVersion = job.version;
         writes.push_back({ id, encodeProgress(progressOf(job)), job.version });
     }
     for (const auto& write : writes)
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -15,6 +15,7 @@
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "jobs/placement.h"
+#include "jobs/serving_zone.h"
 
 namespace camphorsaddle::jobs {
 
@@ -91,7 +92,7 @@
 
     // jobs
     job_state& insert(const job_spec& job, utils::time_point now);
-    void refreshReadiness(job_state& job);
+    void refreshReadiness(job_state& job, utils::time_point now);
     void endJob(job_state& job, job_phase phase, utils::time_point now, const std::string& why);
     void changed(job_state& job);
     void stopRuns(job_state& job, utils::time_point now, const std::string& why);
@@ -101,7 +102,7 @@
 
     // runs
     run_state& openRun(job_state& job, unsigned step, unsigned index, worker_state& worker, std::uint64_t number, utils::time_point now);
-    void closeRun(run_state& run);
+    void closeRun(run_state& run, utils::time_point now);
     void stopRun(run_state& run, utils::time_point now, const std::string& why);
     run_state* findRun(worker_state& worker, const external::run_id& id);
     task_state* findTask(const external::run_id& id, job_state** job);
@@ -127,10 +128,22 @@
     void expireLeases(utils::time_point now);
     void moveFromLeaving(utils::time_point now);
     void findStalledRuns(utils::time_point now);
-    void paceFills(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
+    void sampleServing(worker_state& worker, utils::time_point now);
+    void paceFills(worker_state& worker, std::vector<engine_command>& commands);
     void dispatch(utils::time_point now, std::vector<engine_command>& commands);
     std::vector<idle_step> idleSteps(utils::time_point now) const;
-    worker_state* choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const;
+    //! Strict places leave every neighbour within its target; relaxed ones are taken after a wait.
+    enum class placement_mode {
+        Relaxed,
+        Strict,
+    };
+    worker_state* choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now, placement_mode mode) const;
+    double zoneCost(const worker_state& worker, const step_spec& step) const;
+    bool isSensitive(const step_spec& step) const;
+    bool isOutOfPlace(const run_state& run) const;
+    void updateSensitiveZone();
+    void arrangeServing(utils::time_point now);
+    bool hasBetterPlace(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const;
     void orderStops(utils::time_point now, std::vector<engine_command>& commands);
     void observe(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
     void endRestoration(utils::time_point now);
@@ -152,7 +165,9 @@
     utils::time_point m_restoreUntil;
     bool m_isRestoring = false;
     bool m_isDeposed = false;
-    fill_pressure m_pressure;
+    interference_model m_interference;
+    std::set<std::string> m_sensitiveZone;
+    utils::time_point m_arrangedAt;
     //! Mean duration of a queue's runs against their estimate.
     std::map<std::string, double> m_estimateRatios;
 };
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -13,6 +13,10 @@
         return std::chrono::duration_cast<utils::milliseconds>(to - from);
     }
 
+    // Work that fills waits this long for a place where it harms nobody, before it takes the least harmful one.
+    constexpr utils::milliseconds fillPatience { 1500 };
+    constexpr double otherZoneCost = 1.0;
+    constexpr double fillZoneCost = 0.25;
     // A run is taken as stalled when its rest needs this many times the duration of a sibling.
     constexpr double stalledFactor = 1.6;
     constexpr double unknownStalledFactor = 4.0;
@@ -20,6 +24,10 @@
     constexpr utils::milliseconds stalledSlack { 700 };
     // Work that fills rests while its neighbours use their processors.
     constexpr utils::milliseconds fillStandstill { 3500 };
+    // Work that is paced down so far is moved where it can go on, unless most of it would be lost.
+    constexpr int crawlingPace = 25;
+    constexpr utils::milliseconds crawlingTime { 900 };
+    constexpr int restartPercent = 30;
     // A task that lasts is at work shortly after its start.
     constexpr utils::milliseconds servingStartLimit { 2500 };
     // More moves than this rather show that the task itself is long.
@@ -42,9 +50,10 @@
     expireLeases(now);
     moveFromLeaving(now);
     findStalledRuns(now);
+    arrangeServing(now);
     dispatch(now, commands);
     for (auto& [id, worker] : m_workers)
-        paceFills(*worker, now, commands);
+        paceFills(*worker, commands);
     orderStops(now, commands);
     for (auto& [id, worker] : m_workers)
         observe(*worker, now, commands);
@@ -96,6 +105,10 @@
                     continue;
                 }
                 if (spec.fills) {
+                    if (run.pace <= crawlingPace && now - run.pacedAt > crawlingTime && (spec.checkpoints || run.percent < restartPercent) && hasBetterPlace(*job, number, task, now)) {
+                        stopRun(run, now, absl::StrCat("it crawls at pace ", run.pace, ", ", run.percent, "% done"));
+                        continue;
+                    }
                     if (run.pace > 0 && now - run.percentChangedAt > fillStandstill && run.worker->answeredAt > run.percentChangedAt + fillStandstill / 2) {
                         task.avoided.push_back(run.worker->about.id);
                         run.worker->trust.stalled(now);
@@ -159,7 +172,18 @@
     return result;
 }
 
-worker_state* job_engine::choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const
+// Sensitive servers stay together, and what does not disturb them fills their workers first.
+double job_engine::zoneCost(const worker_state& worker, const step_spec& step) const
+{
+    const bool isInZone = m_sensitiveZone.contains(worker.about.id);
+    if (step.lasts && step.target.count() > 0)
+        return isSensitive(step) == isInZone ? 0 : otherZoneCost;
+    if (step.fills && !m_sensitiveZone.empty())
+        return m_interference.isHeavy(step.image) == isInZone ? fillZoneCost : 0;
+    return 0;
+}
+
+worker_state* job_engine::choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now, placement_mode mode) const
 {
     const auto& spec = job.spec.steps[step];
     worker_state* best = nullptr;
@@ -171,7 +195,9 @@
             continue;
         if (std::ranges::any_of(task.runs, [&](const auto& run) { return run->worker == worker.get(); }))
             continue;
-        double cost = placementCost(*worker, spec, m_pressure);
+        if (spec.fills && mode == placement_mode::Strict && !fillFits(*worker, spec, m_interference))
+            continue;
+        double cost = placementCost(*worker, spec, m_interference) + zoneCost(*worker, spec);
         if (std::ranges::find(task.avoided, id) != task.avoided.end())
             cost += 10;
         if (best == nullptr || cost < bestCost) {
@@ -182,6 +208,12 @@
     return best;
 }
 
+bool job_engine::hasBetterPlace(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const
+{
+    const auto* other = choose(job, step, task, now, placement_mode::Strict);
+    return other != nullptr && idleProcessors(*other) >= job.spec.steps[step].each.processors;
+}
+
 void job_engine::dispatch(utils::time_point now, std::vector<engine_command>& commands)
 {
     for (const auto& idle : idleSteps(now)) {
@@ -189,10 +221,13 @@
         const auto& spec = job.spec.steps[idle.step];
         for (const unsigned index : idle.tasks) {
             auto& task = job.steps[idle.step].tasks[index];
-            auto* worker = choose(job, idle.step, task, now);
+            const bool isPatient = !spec.fills || now < task.waitingSince + fillPatience;
+            auto* worker = choose(job, idle.step, task, now, isPatient ? placement_mode::Strict : placement_mode::Relaxed);
             if (worker == nullptr)
                 break;
             auto& run = openRun(job, idle.step, index, *worker, task.lastRun + 1, now);
+            if (spec.fills)
+                worker->unreportedUse[spec.image] += static_cast<double>(spec.each.processors) / static_cast<double>(worker->about.capacity.processors);
             run.checkpoint = spec.checkpoints ? task.checkpoint : std::string();
             commands.push_back(start_command { { worker->about.id, worker->about.endpoint }, { idOf(run), job.spec.payload, run.checkpoint, grantLease(*worker, now), m_term } });
         }
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -97,6 +97,7 @@
         if (!isListed)
             takeAbsence(*run, sentAt, now);
     }
+    sampleServing(worker, now);
 }
 
 void job_engine::takeReport(worker_state& worker, const external::run_report& report, utils::time_point now)
@@ -149,7 +150,7 @@
     if (run.phase == run_phase::Stopping) {
         if (run.stopConfirmedAt && sentAt >= *run.stopConfirmedAt) {
             note(note_kind::RunLost, run, "it was never there and is rejected from now on");
-            closeRun(run);
+            closeRun(run, now);
         }
         return;
     }
--- a/src/libs/jobs/job_engine_pacing.cpp
+++ b/src/libs/jobs/job_engine_pacing.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 
 #include "jobs/job_engine.h"
 
@@ -6,50 +7,110 @@
 
 namespace {
 
-    // Shares of a serving task's target at which the work beside it is slowed and may speed up again. The report is
-    // rough and half a second old, and the load of the task swings meanwhile.
-    constexpr double highTail = 0.8;
-    constexpr double lowTail = 0.5;
-    constexpr int lowestPace = 0;
-    constexpr int slowStep = 50;
-    constexpr int fastStep = 25;
+    // Headroom (target against tail) below which work beside a serving task is slowed, which slowing aims at, and above
+    // which it may go faster. Reports are half a second old and the load of the task swings meanwhile.
+    constexpr double lowHeadroom = 1.15;
+    constexpr double soughtHeadroom = 1.4;
+    constexpr double ampleHeadroom = 1.6;
+    // Work that costs less headroom than this at full pace is left alone.
+    constexpr double harmlessLoss = 0.2;
     // A new pace shows in the tail of the last half second after this time.
-    constexpr utils::milliseconds paceEffect { 600 };
+    constexpr utils::milliseconds paceEffect { 550 };
+    constexpr int smallestPaceChange = 10;
 
-    double worstTail(const worker_state& worker)
+    double capacityOf(const worker_state& worker)
     {
-        double worst = 0;
-        for (const auto* run : worker.runs) {
-            const auto& spec = run->job->spec.steps[run->step];
-            if (spec.lasts && spec.target.count() > 0 && run->phase == run_phase::Running && run->percent == 100)
-                worst = std::max(worst, static_cast<double>(run->load) / static_cast<double>(spec.target.count()));
-        }
-        return worst;
+        return static_cast<double>(std::max<std::int64_t>(worker.about.capacity.processors, 1));
+    }
+
+    bool isServing(const run_state& run)
+    {
+        const auto& spec = run.job->spec.steps[run.step];
+        return spec.lasts && spec.target.count() > 0 && run.phase == run_phase::Running && run.percent == 100;
     }
 
 } // namespace
 
-void job_engine::paceFills(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands)
+// Called with each report of the worker.
+void job_engine::sampleServing(worker_state& worker, utils::time_point now)
+{
+    fill_use use;
+    for (const auto* run : worker.runs) {
+        const auto& spec = run->job->spec.steps[run->step];
+        if (spec.fills && run->load > 0)
+            use[spec.image] += static_cast<double>(run->load) / capacityOf(worker);
+    }
+    worker.unreportedUse.clear();
+    for (const auto* run : worker.runs) {
+        const auto& spec = run->job->spec.steps[run->step];
+        if (spec.fills && run->load == 0 && run->pace > 0)
+            worker.unreportedUse[spec.image] += static_cast<double>(spec.each.processors) * run->pace / 100 / capacityOf(worker);
+    }
+    for (auto* run : worker.runs) {
+        if (!isServing(*run) || run->load <= 0) {
+            run->serving = {};
+            continue;
+        }
+        const auto& spec = run->job->spec.steps[run->step];
+        const serving_sample sample { static_cast<double>(spec.target.count()) / static_cast<double>(run->load), use, now };
+        m_interference.learn(spec.image, run->serving, sample);
+        run->serving = sample;
+    }
+}
+
+void job_engine::paceFills(worker_state& worker, std::vector<engine_command>& commands)
 {
     if (worker.fillProcessors == 0 || !worker.isFenced)
         return;
-    const double tail = worstTail(worker);
-    const external::worker_address address { worker.about.id, worker.about.endpoint };
+    std::vector<run_state*> fills;
     for (auto* run : worker.runs) {
-        const auto& spec = run->job->spec.steps[run->step];
-        if (!spec.fills || run->phase != run_phase::Running || run->isPacing || now < run->pacedAt + paceEffect || worker.answeredAt < run->pacedAt + paceEffect)
+        if (!run->job->spec.steps[run->step].fills || run->phase != run_phase::Running)
+            continue;
+        // While a pace takes effect the report says nothing about it.
+        if (run->isPacing || worker.answeredAt < run->pacedAt + paceEffect)
+            return;
+        fills.push_back(run);
+    }
+    const auto lossOf = [&](const run_state& serving, const run_state& fill) {
+        const auto& spec = fill.job->spec.steps[fill.step];
+        return m_interference.pressure(serving.job->spec.steps[serving.step].image, spec.image) * static_cast<double>(spec.each.processors) / capacityOf(worker);
+    };
+    std::map<run_state*, int> paces;
+    for (auto* fill : fills)
+        paces[fill] = fill->pace;
+    // What may speed up is bounded by the serving task with the least headroom beside it.
+    for (auto* fill : fills) {
+        double rise = 1;
+        for (const auto* run : worker.runs) {
+            if (!isServing(*run) || run->serving.headroom <= 0)
+                continue;
+            const double loss = lossOf(*run, *fill);
+            if (loss > harmlessLoss)
+                rise = std::min(rise, run->serving.headroom < ampleHeadroom ? 0.0 : (run->serving.headroom - soughtHeadroom) / loss / static_cast<double>(fills.size()));
+        }
+        paces[fill] = std::min(100, fill->pace + static_cast<int>(100 * std::max(rise, 0.0)));
+    }
+    for (const auto* run : worker.runs) {
+        if (!isServing(*run) || run->serving.headroom <= 0 || run->serving.headroom >= lowHeadroom)
             continue;
-        int pace = run->pace;
-        if (tail > 1)
-            pace = lowestPace;
-        else if (tail > highTail)
-            pace = std::max(lowestPace, run->pace - slowStep);
-        else if (tail < lowTail)
-            pace = std::min(100, run->pace + fastStep);
-        if (pace == run->pace)
+        double missing = soughtHeadroom - run->serving.headroom;
+        auto culprits = fills;
+        std::ranges::sort(culprits, [&](const auto* left, const auto* right) { return lossOf(*run, *left) > lossOf(*run, *right); });
+        for (auto* fill : culprits) {
+            const double loss = lossOf(*run, *fill);
+            if (missing <= 0 || loss < harmlessLoss)
+                break;
+            const int cut = std::min(fill->pace, static_cast<int>(100 * missing / loss) + 1);
+            paces[fill] = std::min(paces[fill], fill->pace - cut);
+            missing -= loss * cut / 100;
+        }
+    }
+    for (const auto& [fill, pace] : paces) {
+        const bool isWorthwhile = std::abs(pace - fill->pace) >= smallestPaceChange || (pace == 100 && fill->pace < 100);
+        if (!isWorthwhile)
             continue;
-        run->isPacing = true;
-        commands.push_back(pace_command { address, idOf(*run), pace });
+        fill->isPacing = true;
+        commands.push_back(pace_command { { worker.about.id, worker.about.endpoint }, idOf(*fill), pace });
     }
 }
 
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -45,7 +45,7 @@
     return *task.runs.back();
 }
 
-void job_engine::closeRun(run_state& run)
+void job_engine::closeRun(run_state& run, utils::time_point now)
 {
     auto& worker = *run.worker;
     auto& task = taskOf(run);
@@ -59,6 +59,7 @@
         worker.servingProcessors -= spec.each.processors;
     worker.charged = worker.charged - charge;
     std::erase(worker.runs, &run);
+    task.waitingSince = now;
     task.closedRuns.push_back(run.number);
     if (task.closedRuns.size() > closedRunLimit)
         task.closedRuns.erase(task.closedRuns.begin());
@@ -125,7 +126,7 @@
         stopRun(*run, now, "another copy is done");
     if (isFinal(job.phase))
         return;
-    refreshReadiness(job);
+    refreshReadiness(job, now);
     const bool isComplete = std::ranges::all_of(job.steps, [](const auto& state) { return state.doneCount == state.tasks.size(); });
     if (isComplete)
         endJob(job, job_phase::Completed, now, "all tasks are done");
@@ -181,7 +182,7 @@
                 ratio += ratioWeight * (std::min(duration / static_cast<double>(spec.estimate.count()), 4.0) - ratio);
             }
         }
-        closeRun(*run);
+        closeRun(*run, now);
     } else {
         task->lastRun = std::max(task->lastRun, end.run.number);
         task->closedRuns.push_back(end.run.number);
@@ -244,17 +245,17 @@
     case external::order_outcome::NoRoom:
         taskOf(*run).notBefore = now + roomPause;
         worker.wantsProbe = true;
-        closeRun(*run);
+        closeRun(*run, now);
         return;
     case external::order_outcome::Unhealthy:
     case external::order_outcome::NotSent:
     case external::order_outcome::Malformed:
         worker.trust.refused(now);
-        closeRun(*run);
+        closeRun(*run, now);
         return;
     case external::order_outcome::LeaseOver:
         worker.wantsProbe = true;
-        closeRun(*run);
+        closeRun(*run, now);
         return;
     case external::order_outcome::OtherLife:
         loseRuns(worker, now, "another worker answers at its address");
@@ -316,7 +317,7 @@
         note(note_kind::RunLost, run, why);
         auto& task = taskOf(run);
         task.notBefore = now;
-        closeRun(run);
+        closeRun(run, now);
     }
     worker.unstoredEnds.clear();
 }
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "external/run_control.h"
+#include "jobs/interference.h"
 #include "jobs/job.h"
 #include "jobs/worker_trust.h"
 
@@ -47,6 +48,8 @@
     int pace = 100;
     utils::time_point pacedAt;
     bool isPacing = false;
+    //! Last sample of a task that serves.
+    serving_sample serving;
     //! Last order to stop, when one is given.
     utils::time_point stopSentAt;
     bool isStopUnderWay = false;
@@ -61,6 +64,8 @@
     std::uint64_t lastRun = 0;
     std::string checkpoint;
     utils::time_point notBefore;
+    //! Since when it could run and does not.
+    utils::time_point waitingSince;
     std::vector<std::unique_ptr<run_state>> runs;
     //! Numbers of runs whose end is known.
     std::vector<std::uint64_t> closedRuns;
@@ -89,7 +94,6 @@
     //! Version of the course, raised by each change that must be kept, and the version that the store has.
     std::uint64_t version = 0;
     std::uint64_t storedVersion = 0;
-    std::uint64_t storingVersion = 0;
     bool isCancelStored = false;
 };
 
@@ -119,6 +123,8 @@
     model::resources charged;
     //! Processors that tasks which fill ask for, thousandths of a core.
     std::int64_t fillProcessors = 0;
+    //! Use by tasks that fill and were started or paced up since the last report.
+    fill_use unreportedUse;
     //! Processors of the tasks that serve.
     std::int64_t servingProcessors = 0;
     std::vector<run_state*> runs;
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -1,6 +1,7 @@
 #include "jobs/placement.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace camphorsaddle::jobs {
 
@@ -8,9 +9,14 @@
 
     // Mean share of its processors that a task which serves uses.
     constexpr double servingUse = 0.55;
-    // An image that was not seen yet; half of the images disturb strongly.
-    constexpr double unknownPressure = 0.05;
-    constexpr double pressureWeight = 0.2;
+    // Headroom beyond this is as good as any: the load of a serving task swings by less.
+    constexpr double ampleHeadroom = 4.0;
+    // Headroom that a new neighbour has to leave.
+    constexpr double neededHeadroom = 1.1;
+    // Headroom of a task that has not told its tail yet.
+    constexpr double unknownHeadroom = 2.0;
+    // Weight of headroom against idle processors in the choice for work that fills.
+    constexpr double headroomWeight = 0.3;
     constexpr double otherRackCost = 2.0;
     // A trial is worth more on a worker with little to lose.
     constexpr double trialCost = 0.5;
@@ -22,28 +28,6 @@
 
 } // namespace
 
-double fill_pressure::of(const std::string& image) const
-{
-    const auto found = m_pressures.find(image);
-    return found == m_pressures.end() ? unknownPressure : found->second;
-}
-
-void fill_pressure::learn(const std::map<std::string, double>& shares, double growth)
-{
-    double predicted = 0;
-    double squares = 0;
-    for (const auto& [image, cores] : shares) {
-        predicted += of(image) * cores;
-        squares += cores * cores;
-    }
-    if (squares <= 0)
-        return;
-    // Normalised least mean squares: the error goes to the images by their share of the company.
-    const double correction = pressureWeight * (growth - predicted) / squares;
-    for (const auto& [image, cores] : shares)
-        m_pressures[image] = std::max(0.0, of(image) + correction * cores);
-}
-
 bool mayPlace(const worker_state& worker, const step_spec& step, const std::string& service, utils::milliseconds withdrawalGrace, utils::time_point now)
 {
     const bool isListed = worker.isAnnounced || now < worker.withdrawnAt + withdrawalGrace;
@@ -70,14 +54,35 @@
     return worker.about.capacity.processors - worker.charged.processors + serving - worker.fillProcessors;
 }
 
-double placementCost(const worker_state& worker, const step_spec& step, const fill_pressure& pressure)
+double headroomWith(const worker_state& worker, const std::string& image, double added, const interference_model& interference)
+{
+    double least = std::numeric_limits<double>::infinity();
+    for (const auto* run : worker.runs) {
+        const auto& spec = run->job->spec.steps[run->step];
+        if (!spec.lasts || spec.target.count() == 0)
+            continue;
+        double headroom = run->serving.headroom > 0 ? run->serving.headroom : unknownHeadroom;
+        // What was started since the last report does not show in it yet.
+        headroom -= interference.loss(spec.image, worker.unreportedUse) + interference.pressure(spec.image, image) * added;
+        least = std::min(least, headroom);
+    }
+    return least;
+}
+
+bool fillFits(const worker_state& worker, const step_spec& step, const interference_model& interference)
+{
+    const double share = static_cast<double>(step.each.processors) / static_cast<double>(std::max<std::int64_t>(worker.about.capacity.processors, 1));
+    return headroomWith(worker, step.image, share, interference) >= neededHeadroom;
+}
+
+double placementCost(const worker_state& worker, const step_spec& step, const interference_model& interference)
 {
     const auto capacity = static_cast<double>(std::max<std::int64_t>(worker.about.capacity.processors, 1));
     double cost = 0;
     if (step.fills) {
-        const double idle = static_cast<double>(idleProcessors(worker) - step.each.processors) / capacity;
-        const double disturbed = static_cast<double>(worker.servingProcessors) / capacity;
-        cost = -idle + disturbed * pressure.of(step.image) * static_cast<double>(step.each.processors) / 1000;
+        const double share = static_cast<double>(step.each.processors) / capacity;
+        const double idle = static_cast<double>(idleProcessors(worker)) / capacity - share;
+        cost = std::max(0.0, -idle) * 4 - headroomWeight * std::min(headroomWith(worker, step.image, share, interference), ampleHeadroom);
     } else {
         cost = static_cast<double>(worker.charged.processors + step.each.processors) / capacity;
         if (step.lasts)
