--- /dev/null
+++ b/src/libs/jobs/carrier_choice.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorsaddle::jobs {
+
+//! \brief A daemon that can carry orders to workers.
+struct carrier {
+    std::string endpoint;
+    std::string dataCentre;
+
+    auto operator<=>(const carrier&) const = default;
+};
+
+//! \brief The carrier for a worker: one of its own data centre if there is any, the same for as long as it lives.
+//!
+//! Rendezvous hashing, so that the end of a carrier moves only its own workers. None without carriers.
+std::optional<carrier> chooseCarrier(const std::vector<carrier>& carriers, const std::string& worker, const std::string& dataCentre);
+
+} // namespace camphorsaddle::jobs
--- a/src/libs/jobs/interference.cpp
+++ b/src/libs/jobs/interference.cpp
@@ -11,8 +11,10 @@
     constexpr double unknownVariance = 36.0;
     constexpr double leastVariance = 0.5;
     constexpr double highestPressure = 60.0;
-    // An image is sensitive or heavy when one of its pairs is known to cost this much: 0.4 of the headroom for a tenth
-    // of the worker.
+    // A server's load swings between half and one and a half of its mean within five seconds.
+    constexpr double steepestSlope = 1.0;
+    constexpr double slopeRate = 0.8;
+    // Two images are enemies when the pair is known to cost this much: 0.4 of the headroom for a tenth of the worker.
     constexpr double strongPressure = 4.0;
     constexpr double knownVariance = 12.0;
     // Swing of the serving task's own load between two samples (standard deviation 0.4).
@@ -24,64 +26,106 @@
 
 } // namespace
 
-interference_model::estimate& interference_model::estimateOf(const std::string& serving, const std::string& fill)
+void addUse(fill_use& use, image_number image, double share)
 {
-    return m_estimates.try_emplace({ serving, fill }, estimate { unknownPressure, unknownVariance }).first->second;
+    if (use.size() <= image)
+        use.resize(image + 1, 0);
+    use[image] += share;
 }
 
-double interference_model::pressure(const std::string& serving, const std::string& fill) const
+image_number interference_model::number(const std::string& image)
 {
-    const auto known = m_estimates.find({ serving, fill });
-    return known == m_estimates.end() ? unknownPressure : known->second.mean;
+    return m_numbers.try_emplace(image, static_cast<image_number>(m_numbers.size())).first->second;
 }
 
-double interference_model::highestPressureOf(const std::string& image, bool isFill) const
+interference_model::estimate& interference_model::estimateOf(image_number serving, image_number fill)
 {
-    double highest = 0;
-    for (const auto& [pair, known] : m_estimates) {
-        if ((isFill ? pair.second : pair.first) == image && known.variance < knownVariance)
-            highest = std::max(highest, known.mean);
+    if (m_estimates.size() <= serving)
+        m_estimates.resize(serving + 1);
+    auto& row = m_estimates[serving];
+    if (row.size() <= fill)
+        row.resize(fill + 1, { unknownPressure, unknownVariance });
+    return row[fill];
+}
+
+double interference_model::pressure(image_number serving, image_number fill) const
+{
+    const bool isKnown = serving < m_estimates.size() && fill < m_estimates[serving].size();
+    return isKnown ? m_estimates[serving][fill].mean : unknownPressure;
+}
+
+double interference_model::loss(image_number serving, const fill_use& use) const
+{
+    double sum = 0;
+    for (image_number image = 0; image < use.size(); ++image) {
+        if (use[image] > 0)
+            sum += pressure(serving, image) * use[image];
     }
-    return highest;
+    return sum;
 }
 
-bool interference_model::isSensitive(const std::string& serving) const
+serving_sample interference_model::follow(image_number serving, const serving_sample& before, double headroom, fill_use use, utils::time_point now) const
 {
-    return highestPressureOf(serving, false) > strongPressure;
+    serving_sample sample { headroom, std::move(use), now, 0, {} };
+    if (headroom < 1)
+        sample.overSince = before.headroom > 0 && before.headroom < 1 && before.overSince != utils::time_point() ? before.overSince : now;
+    const auto gap = std::chrono::duration<double>(now - before.at).count();
+    if (before.headroom <= 0 || gap <= 0 || now - before.at > longestGap)
+        return sample;
+    const double alone = headroom + loss(serving, sample.use);
+    const double aloneBefore = before.headroom + loss(serving, before.use);
+    const double slope = std::clamp((alone - aloneBefore) / gap, -steepestSlope, steepestSlope);
+    const double weight = std::min(1.0, gap * slopeRate);
+    sample.slope = before.slope + weight * (slope - before.slope);
+    return sample;
 }
 
-bool interference_model::isHeavy(const std::string& fill) const
+const std::vector<image_number>& interference_model::enemies(image_number serving) const
 {
-    return highestPressureOf(fill, true) > strongPressure;
+    static const std::vector<image_number> s_none;
+    return serving < m_enemies.size() ? m_enemies[serving] : s_none;
 }
 
-double interference_model::loss(const std::string& serving, const fill_use& use) const
+void interference_model::refresh()
 {
-    double sum = 0;
-    for (const auto& [image, share] : use)
-        sum += pressure(serving, image) * share;
-    return sum;
+    m_enemies.assign(m_numbers.size(), {});
+    for (image_number serving = 0; serving < m_estimates.size(); ++serving) {
+        for (image_number fill = 0; fill < m_estimates[serving].size(); ++fill) {
+            const auto& known = m_estimates[serving][fill];
+            if (known.variance < knownVariance && known.mean > strongPressure)
+                m_enemies[serving].push_back(fill);
+        }
+    }
 }
 
-void interference_model::learn(const std::string& serving, const serving_sample& before, const serving_sample& after)
+void interference_model::learn(image_number serving, const serving_sample& before, const serving_sample& after)
 {
     if (before.headroom <= 0 || after.headroom <= 0 || after.at - before.at > longestGap)
         return;
     fill_use change = after.use;
-    for (const auto& [image, share] : before.use)
-        change[image] -= share;
+    for (image_number image = 0; image < before.use.size(); ++image)
+        addUse(change, image, -before.use[image]);
     double predicted = 0;
     double variance = sampleVariance;
-    for (const auto& [image, share] : change) {
+    bool hasChanged = false;
+    for (image_number image = 0; image < change.size(); ++image) {
+        const double share = change[image];
+        if (share == 0)
+            continue;
+        hasChanged = true;
         const auto& known = estimateOf(serving, image);
         predicted += known.mean * share;
         variance += known.variance * share * share;
     }
     const double error = before.headroom - after.headroom - predicted;
     // A drop into saturation shows at least its size, a rise out of it at most.
-    if ((after.headroom < saturatedHeadroom && error < 0) || (before.headroom < saturatedHeadroom && error > 0))
+    const bool isBound = (after.headroom < saturatedHeadroom && error < 0) || (before.headroom < saturatedHeadroom && error > 0);
+    if (!hasChanged || isBound)
         return;
-    for (const auto& [image, share] : change) {
+    for (image_number image = 0; image < change.size(); ++image) {
+        const double share = change[image];
+        if (share == 0)
+            continue;
         auto& known = estimateOf(serving, image);
         const double gain = known.variance * share / variance;
         known.mean = std::clamp(known.mean + gain * error, 0.0, highestPressure);
--- a/src/libs/jobs/interference.h
+++ b/src/libs/jobs/interference.h
@@ -1,15 +1,21 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
-#include <utility>
+#include <vector>
 
 #include "utils/clock.h"
 
 namespace camphorsaddle::jobs {
 
-//! \brief Use of a worker's processors by tasks that fill, by image, as shares of its capacity.
-using fill_use = std::map<std::string, double>;
+//! \brief Number of an image within an interference_model.
+using image_number = std::uint32_t;
+
+//! \brief Use of a worker's processors by tasks that fill, as shares of its capacity, by image.
+using fill_use = std::vector<double>;
+
+void addUse(fill_use& use, image_number image, double share);
 
 //! \brief What the scheduler knows of a task that serves: how far its tail is below its target.
 struct serving_sample {
@@ -17,6 +23,10 @@
     double headroom = 0;
     fill_use use;
     utils::time_point at;
+    //! Change of the headroom without company, by the task's own load, per second.
+    double slope = 0;
+    //! Since when it is over its target; the epoch when it is not.
+    utils::time_point overSince;
 };
 
 //! \brief How much headroom a task that serves loses by work that fills beside it, learned for each pair of images.
@@ -26,16 +36,22 @@
 //! seconds, so that only changes between two samples are compared.
 class interference_model {
 public:
+    //! \brief Number of the image, the same for as long as the model lives.
+    image_number number(const std::string& image);
+
     //! \brief Headroom lost for each unit of capacity that \a fill uses beside \a serving.
-    double pressure(const std::string& serving, const std::string& fill) const;
+    double pressure(image_number serving, image_number fill) const;
     //! \brief Headroom lost by \a use.
-    double loss(const std::string& serving, const fill_use& use) const;
-    //! \brief Whether the image that serves loses much more than the others by the images that fill.
-    bool isSensitive(const std::string& serving) const;
-    //! \brief Whether the image that fills costs much more than the others.
-    bool isHeavy(const std::string& fill) const;
+    double loss(image_number serving, const fill_use& use) const;
+    //! \brief Images that fill and cost the image that serves much; as of the last refresh.
+    const std::vector<image_number>& enemies(image_number serving) const;
+
+    //! \brief The sample that follows \a before, with what it tells of the trend.
+    serving_sample follow(image_number serving, const serving_sample& before, double headroom, fill_use use, utils::time_point now) const;
     //! \brief Compares two samples of one task.
-    void learn(const std::string& serving, const serving_sample& before, const serving_sample& after);
+    void learn(image_number serving, const serving_sample& before, const serving_sample& after);
+    //! \brief Decides anew which images are enemies.
+    void refresh();
 
 private:
     //! Estimate with its variance, corrected by each sample in proportion to how unsure it is (a Kalman filter).
@@ -44,10 +60,12 @@
         double variance;
     };
 
-    double highestPressureOf(const std::string& image, bool isFill) const;
-    estimate& estimateOf(const std::string& serving, const std::string& fill);
+    estimate& estimateOf(image_number serving, image_number fill);
 
-    std::map<std::pair<std::string, std::string>, estimate> m_estimates;
+    std::map<std::string, image_number> m_numbers;
+    //! By image that serves, then by image that fills; shorter where nothing is known.
+    std::vector<std::vector<estimate>> m_estimates;
+    std::vector<std::vector<image_number>> m_enemies;
 };
 
 } // namespace camphorsaddle::jobs
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -27,6 +27,7 @@
     if (!known) {
         known = std::make_unique<worker_state>();
         known->nextObservation = now;
+        known->isOnRoster = std::ranges::binary_search(m_storedRoster, worker.id);
     }
     known->isAnnounced = true;
     if (worker.life != 0 && known->about.life != 0 && worker.life > known->about.life)
@@ -54,6 +55,7 @@
     for (const auto& step : job.steps) {
         state.steps.emplace_back();
         state.steps.back().tasks.resize(step.count);
+        state.steps.back().image = m_interference.number(step.image);
     }
     for (auto& step : state.steps) {
         for (auto& task : step.tasks)
@@ -105,7 +107,7 @@
 
 void job_engine::beginTerm(const std::vector<std::string>& roster, utils::time_point now)
 {
-    m_storedRoster = roster;
+    rosterStored(roster);
     m_unheard.insert(roster.begin(), roster.end());
     m_restoreUntil = now + m_settings.formerLeaderReach + m_settings.surelyOver(m_settings.lease);
     for (auto& [id, worker] : m_workers)
@@ -267,6 +269,8 @@
 void job_engine::rosterStored(const std::vector<std::string>& workers)
 {
     m_storedRoster = workers;
+    for (auto& [id, worker] : m_workers)
+        worker->isOnRoster = std::ranges::binary_search(m_storedRoster, id);
 }
 
 std::vector<std::string> job_engine::forgetFinished(utils::time_point now, std::size_t limit)
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -15,7 +15,7 @@
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "jobs/placement.h"
-#include "jobs/serving_zone.h"
+#include "jobs/serving_arrangement.h"
 
 namespace camphorsaddle::jobs {
 
@@ -129,7 +129,7 @@
     void moveFromLeaving(utils::time_point now);
     void findStalledRuns(utils::time_point now);
     void sampleServing(worker_state& worker, utils::time_point now);
-    void paceFills(worker_state& worker, std::vector<engine_command>& commands);
+    void paceFills(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
     void dispatch(utils::time_point now, std::vector<engine_command>& commands);
     std::vector<idle_step> idleSteps(utils::time_point now) const;
     //! Strict places leave every neighbour within its target; relaxed ones are taken after a wait.
@@ -138,11 +138,12 @@
         Strict,
     };
     worker_state* choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now, placement_mode mode) const;
-    double zoneCost(const worker_state& worker, const step_spec& step) const;
-    bool isSensitive(const step_spec& step) const;
-    bool isOutOfPlace(const run_state& run) const;
-    void updateSensitiveZone();
+    double arrangementCost(const worker_state& worker, const step_spec& step, image_number image) const;
+    void countBlockers();
     void arrangeServing(utils::time_point now);
+    bool moveServer(run_state& run, utils::time_point now);
+    bool swapServer(run_state& run, const std::vector<run_state*>& others, utils::time_point now);
+    bool mayServe(const worker_state& worker, const step_spec& step, utils::time_point now) const;
     bool hasBetterPlace(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const;
     void orderStops(utils::time_point now, std::vector<engine_command>& commands);
     void observe(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
@@ -166,8 +167,12 @@
     bool m_isRestoring = false;
     bool m_isDeposed = false;
     interference_model m_interference;
-    std::set<std::string> m_sensitiveZone;
+    serving_arrangement m_arrangement;
+    //! Processors that the work which fills asked for lately, by image.
+    std::vector<double> m_fillDemand;
     utils::time_point m_arrangedAt;
+    std::size_t m_arrangementRound = 0;
+    utils::time_point m_reviewedAt;
     //! Mean duration of a queue's runs against their estimate.
     std::map<std::string, double> m_estimateRatios;
 };
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -13,10 +13,12 @@
         return std::chrono::duration_cast<utils::milliseconds>(to - from);
     }
 
+    constexpr utils::milliseconds reviewInterval { 50 };
     // Work that fills waits this long for a place where it harms nobody, before it takes the least harmful one.
     constexpr utils::milliseconds fillPatience { 1500 };
-    constexpr double otherZoneCost = 1.0;
-    constexpr double fillZoneCost = 0.25;
+    // Against the share of a worker that is taken, and against headroom and idle processors.
+    constexpr double servingArrangementWeight = 4.0;
+    constexpr double fillArrangementWeight = 0.5;
     // A run is taken as stalled when its rest needs this many times the duration of a sibling.
     constexpr double stalledFactor = 1.6;
     constexpr double unknownStalledFactor = 4.0;
@@ -46,14 +48,18 @@
 std::vector<engine_command> job_engine::decide(utils::time_point now)
 {
     std::vector<engine_command> commands;
-    endRestoration(now);
-    expireLeases(now);
-    moveFromLeaving(now);
-    findStalledRuns(now);
-    arrangeServing(now);
+    // What only time brings about is looked at less often than what answers bring about.
+    if (now >= m_reviewedAt + reviewInterval) {
+        m_reviewedAt = now;
+        endRestoration(now);
+        expireLeases(now);
+        moveFromLeaving(now);
+        findStalledRuns(now);
+        arrangeServing(now);
+        for (auto& [id, worker] : m_workers)
+            paceFills(*worker, now, commands);
+    }
     dispatch(now, commands);
-    for (auto& [id, worker] : m_workers)
-        paceFills(*worker, commands);
     orderStops(now, commands);
     for (auto& [id, worker] : m_workers)
         observe(*worker, now, commands);
@@ -172,32 +178,30 @@
     return result;
 }
 
-// Sensitive servers stay together, and what does not disturb them fills their workers first.
-double job_engine::zoneCost(const worker_state& worker, const step_spec& step) const
+// Servers go where what disturbs them is kept away anyway; work that fills leaves the open workers to what needs them.
+double job_engine::arrangementCost(const worker_state& worker, const step_spec& step, image_number image) const
 {
-    const bool isInZone = m_sensitiveZone.contains(worker.about.id);
     if (step.lasts && step.target.count() > 0)
-        return isSensitive(step) == isInZone ? 0 : otherZoneCost;
-    if (step.fills && !m_sensitiveZone.empty())
-        return m_interference.isHeavy(step.image) == isInZone ? fillZoneCost : 0;
-    return 0;
+        return servingArrangementWeight * m_arrangement.costOfAdding(worker.blockers, m_interference.enemies(image));
+    return step.fills ? -fillArrangementWeight * worker.blocked : 0;
 }
 
 worker_state* job_engine::choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now, placement_mode mode) const
 {
     const auto& spec = job.spec.steps[step];
+    const auto image = job.steps[step].image;
     worker_state* best = nullptr;
     double bestCost = 0;
     for (const auto& [id, worker] : m_workers) {
-        if (!mayPlace(*worker, spec, job.spec.service, m_settings.withdrawalGrace, now) || !std::ranges::binary_search(m_storedRoster, id))
+        if (!mayPlace(*worker, spec, job.spec.service, m_settings.withdrawalGrace, now) || !worker->isOnRoster)
             continue;
         if (spec.perWorker > 0 && runsOfStep(*worker, job, step) >= spec.perWorker)
             continue;
         if (std::ranges::any_of(task.runs, [&](const auto& run) { return run->worker == worker.get(); }))
             continue;
-        if (spec.fills && mode == placement_mode::Strict && !fillFits(*worker, spec, m_interference))
+        if (spec.fills && mode == placement_mode::Strict && !fillFits(*worker, spec, image, m_interference))
             continue;
-        double cost = placementCost(*worker, spec, m_interference) + zoneCost(*worker, spec);
+        double cost = placementCost(*worker, spec, image, m_interference) + arrangementCost(*worker, spec, image);
         if (std::ranges::find(task.avoided, id) != task.avoided.end())
             cost += 10;
         if (best == nullptr || cost < bestCost) {
@@ -227,7 +231,7 @@
                 break;
             auto& run = openRun(job, idle.step, index, *worker, task.lastRun + 1, now);
             if (spec.fills)
-                worker->unreportedUse[spec.image] += static_cast<double>(spec.each.processors) / static_cast<double>(worker->about.capacity.processors);
+                addUse(worker->unreportedUse, run.image, static_cast<double>(spec.each.processors) / static_cast<double>(worker->about.capacity.processors));
             run.checkpoint = spec.checkpoints ? task.checkpoint : std::string();
             commands.push_back(start_command { { worker->about.id, worker->about.endpoint }, { idOf(run), job.spec.payload, run.checkpoint, grantLease(*worker, now), m_term } });
         }
--- a/src/libs/jobs/job_engine_pacing.cpp
+++ b/src/libs/jobs/job_engine_pacing.cpp
@@ -9,6 +9,11 @@
 
     // Headroom (target against tail) below which work beside a serving task is slowed, which slowing aims at, and above
     // which it may go faster. Reports are half a second old and the load of the task swings meanwhile.
+    // A report is half a second old when a new pace takes effect.
+    constexpr double trendReach = 0.0;
+    // All work beside a task that stays over its target for this time is stopped, whatever the model says; well below
+    // the time in which neighbours count as harmful.
+    constexpr utils::milliseconds longestOver { 1200 };
     constexpr double lowHeadroom = 1.15;
     constexpr double soughtHeadroom = 1.4;
     constexpr double ampleHeadroom = 1.6;
@@ -38,13 +43,13 @@
     for (const auto* run : worker.runs) {
         const auto& spec = run->job->spec.steps[run->step];
         if (spec.fills && run->load > 0)
-            use[spec.image] += static_cast<double>(run->load) / capacityOf(worker);
+            addUse(use, run->image, static_cast<double>(run->load) / capacityOf(worker));
     }
     worker.unreportedUse.clear();
     for (const auto* run : worker.runs) {
         const auto& spec = run->job->spec.steps[run->step];
         if (spec.fills && run->load == 0 && run->pace > 0)
-            worker.unreportedUse[spec.image] += static_cast<double>(spec.each.processors) * run->pace / 100 / capacityOf(worker);
+            addUse(worker.unreportedUse, run->image, static_cast<double>(spec.each.processors) * run->pace / 100 / capacityOf(worker));
     }
     for (auto* run : worker.runs) {
         if (!isServing(*run) || run->load <= 0) {
@@ -52,13 +57,14 @@
             continue;
         }
         const auto& spec = run->job->spec.steps[run->step];
-        const serving_sample sample { static_cast<double>(spec.target.count()) / static_cast<double>(run->load), use, now };
-        m_interference.learn(spec.image, run->serving, sample);
+        const double headroom = static_cast<double>(spec.target.count()) / static_cast<double>(run->load);
+        const auto sample = m_interference.follow(run->image, run->serving, headroom, use, now);
+        m_interference.learn(run->image, run->serving, sample);
         run->serving = sample;
     }
 }
 
-void job_engine::paceFills(worker_state& worker, std::vector<engine_command>& commands)
+void job_engine::paceFills(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands)
 {
     if (worker.fillProcessors == 0 || !worker.isFenced)
         return;
@@ -73,8 +79,9 @@
     }
     const auto lossOf = [&](const run_state& serving, const run_state& fill) {
         const auto& spec = fill.job->spec.steps[fill.step];
-        return m_interference.pressure(serving.job->spec.steps[serving.step].image, spec.image) * static_cast<double>(spec.each.processors) / capacityOf(worker);
+        return m_interference.pressure(serving.image, fill.image) * static_cast<double>(spec.each.processors) / capacityOf(worker);
     };
+    const auto expectedHeadroom = [](const run_state& run) { return run.serving.headroom + run.serving.slope * trendReach; };
     std::map<run_state*, int> paces;
     for (auto* fill : fills)
         paces[fill] = fill->pace;
@@ -86,21 +93,22 @@
                 continue;
             const double loss = lossOf(*run, *fill);
             if (loss > harmlessLoss)
-                rise = std::min(rise, run->serving.headroom < ampleHeadroom ? 0.0 : (run->serving.headroom - soughtHeadroom) / loss / static_cast<double>(fills.size()));
+                rise = std::min(rise, expectedHeadroom(*run) < ampleHeadroom ? 0.0 : (expectedHeadroom(*run) - soughtHeadroom) / loss / static_cast<double>(fills.size()));
         }
         paces[fill] = std::min(100, fill->pace + static_cast<int>(100 * std::max(rise, 0.0)));
     }
     for (const auto* run : worker.runs) {
-        if (!isServing(*run) || run->serving.headroom <= 0 || run->serving.headroom >= lowHeadroom)
+        if (!isServing(*run) || run->serving.headroom <= 0 || expectedHeadroom(*run) >= lowHeadroom)
             continue;
-        double missing = soughtHeadroom - run->serving.headroom;
+        const bool isOverLong = run->serving.overSince != utils::time_point() && now > run->serving.overSince + longestOver;
+        double missing = isOverLong ? std::numeric_limits<double>::infinity() : soughtHeadroom - expectedHeadroom(*run);
         auto culprits = fills;
         std::ranges::sort(culprits, [&](const auto* left, const auto* right) { return lossOf(*run, *left) > lossOf(*run, *right); });
         for (auto* fill : culprits) {
             const double loss = lossOf(*run, *fill);
-            if (missing <= 0 || loss < harmlessLoss)
+            if (missing <= 0 || (loss < harmlessLoss && !isOverLong))
                 break;
-            const int cut = std::min(fill->pace, static_cast<int>(100 * missing / loss) + 1);
+            const int cut = isOverLong ? fill->pace : std::min(fill->pace, static_cast<int>(100 * missing / loss) + 1);
             paces[fill] = std::min(paces[fill], fill->pace - cut);
             missing -= loss * cut / 100;
         }
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -28,6 +28,7 @@
     run->step = step;
     run->index = index;
     run->number = number;
+    run->image = job.steps[step].image;
     run->worker = &worker;
     run->since = now;
     run->percentChangedAt = now;
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -9,6 +9,7 @@
 #include "external/run_control.h"
 #include "jobs/interference.h"
 #include "jobs/job.h"
+#include "jobs/serving_arrangement.h"
 #include "jobs/worker_trust.h"
 
 namespace camphorsaddle::jobs {
@@ -32,6 +33,7 @@
     unsigned step = 0;
     unsigned index = 0;
     std::uint64_t number = 0;
+    image_number image = 0;
     worker_state* worker = nullptr;
     run_phase phase = run_phase::Starting;
     //! Begin of the present phase.
@@ -77,6 +79,7 @@
 
 struct step_state {
     std::vector<task_state> tasks;
+    image_number image = 0;
     unsigned doneCount = 0;
     //! All steps before it are done.
     bool isReady = false;
@@ -107,6 +110,8 @@
 struct worker_state {
     worker_description about;
     bool isAnnounced = false;
+    //! A later leader will ask it what it runs.
+    bool isOnRoster = false;
     utils::time_point withdrawnAt;
     //! It has answered this leader in its present life.
     bool isFenced = false;
@@ -125,6 +130,9 @@
     std::int64_t fillProcessors = 0;
     //! Use by tasks that fill and were started or paced up since the last report.
     fill_use unreportedUse;
+    //! Servers that suffer from each image that fills, and the share of the filling work that they keep away.
+    blocker_counts blockers;
+    double blocked = 0;
     //! Processors of the tasks that serve.
     std::int64_t servingProcessors = 0;
     std::vector<run_state*> runs;
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -11,6 +11,8 @@
     constexpr double servingUse = 0.55;
     // Headroom beyond this is as good as any: the load of a serving task swings by less.
     constexpr double ampleHeadroom = 4.0;
+    // A task that fills lasts a few seconds.
+    constexpr double trendReach = 0.0;
     // Headroom that a new neighbour has to leave.
     constexpr double neededHeadroom = 1.1;
     // Headroom of a task that has not told its tail yet.
@@ -54,35 +56,35 @@
     return worker.about.capacity.processors - worker.charged.processors + serving - worker.fillProcessors;
 }
 
-double headroomWith(const worker_state& worker, const std::string& image, double added, const interference_model& interference)
+double headroomWith(const worker_state& worker, image_number image, double added, const interference_model& interference)
 {
     double least = std::numeric_limits<double>::infinity();
     for (const auto* run : worker.runs) {
         const auto& spec = run->job->spec.steps[run->step];
         if (!spec.lasts || spec.target.count() == 0)
             continue;
-        double headroom = run->serving.headroom > 0 ? run->serving.headroom : unknownHeadroom;
+        double headroom = run->serving.headroom > 0 ? run->serving.headroom + std::min(run->serving.slope * trendReach, 0.0) : unknownHeadroom;
         // What was started since the last report does not show in it yet.
-        headroom -= interference.loss(spec.image, worker.unreportedUse) + interference.pressure(spec.image, image) * added;
+        headroom -= interference.loss(run->image, worker.unreportedUse) + interference.pressure(run->image, image) * added;
         least = std::min(least, headroom);
     }
     return least;
 }
 
-bool fillFits(const worker_state& worker, const step_spec& step, const interference_model& interference)
+bool fillFits(const worker_state& worker, const step_spec& step, image_number image, const interference_model& interference)
 {
     const double share = static_cast<double>(step.each.processors) / static_cast<double>(std::max<std::int64_t>(worker.about.capacity.processors, 1));
-    return headroomWith(worker, step.image, share, interference) >= neededHeadroom;
+    return headroomWith(worker, image, share, interference) >= neededHeadroom;
 }
 
-double placementCost(const worker_state& worker, const step_spec& step, const interference_model& interference)
+double placementCost(const worker_state& worker, const step_spec& step, image_number image, const interference_model& interference)
 {
     const auto capacity = static_cast<double>(std::max<std::int64_t>(worker.about.capacity.processors, 1));
     double cost = 0;
     if (step.fills) {
         const double share = static_cast<double>(step.each.processors) / capacity;
         const double idle = static_cast<double>(idleProcessors(worker)) / capacity - share;
-        cost = std::max(0.0, -idle) * 4 - headroomWeight * std::min(headroomWith(worker, step.image, share, interference), ampleHeadroom);
+        cost = std::max(0.0, -idle) * 4 - headroomWeight * std::min(headroomWith(worker, image, share, interference), ampleHeadroom);
     } else {
         cost = static_cast<double>(worker.charged.processors + step.each.processors) / capacity;
         if (step.lasts)
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -18,15 +18,15 @@
 //! Tasks that count against the capacity go where the smallest share is taken, which leaves room for large ones on
 //! several workers and loses least with one worker. Tasks that fill go where most processors are idle and where they
 //! slow the fewest tasks that serve.
-double placementCost(const worker_state& worker, const step_spec& step, const interference_model& interference);
+double placementCost(const worker_state& worker, const step_spec& step, image_number image, const interference_model& interference);
 
 //! \brief Least headroom (target against tail) that a task which serves on the worker keeps with \a added more use.
 //!
 //! Without such a task the headroom is unlimited.
-double headroomWith(const worker_state& worker, const std::string& image, double added, const interference_model& interference);
+double headroomWith(const worker_state& worker, image_number image, double added, const interference_model& interference);
 
 //! \brief Whether a task that fills leaves every task that serves on the worker within its target.
-bool fillFits(const worker_state& worker, const step_spec& step, const interference_model& interference);
+bool fillFits(const worker_state& worker, const step_spec& step, image_number image, const interference_model& interference);
 
 //! \brief Processors that tasks which fill could use on the worker, thousandths of a core.
 std::int64_t idleProcessors(const worker_state& worker);
--- a/src/libs/utils/events.cpp
+++ b/src/libs/utils/events.cpp
@@ -62,6 +62,8 @@
         events::storedValueUnreadable,
         events::peerMessageDropped,
         events::peerAnswerUnreadable,
+        events::carrierFound,
+        events::carrierLost,
     };
 
     bool needsQuotes(absl::string_view value)
--- a/src/libs/utils/events.h
+++ b/src/libs/utils/events.h
@@ -104,6 +104,8 @@
     inline constexpr event storedValueUnreadable { 831, event_severity::Error, "stored_value_unreadable", "A value in the store is no record that this program wrote." };
     inline constexpr event peerMessageDropped { 832, event_severity::Warning, "peer_message_dropped", "A message between daemons was not sent or not understood." };
     inline constexpr event peerAnswerUnreadable { 833, event_severity::Warning, "peer_answer_unreadable", "An answer of an outside system was not understood." };
+    inline constexpr event carrierFound { 840, event_severity::Info, "carrier_found", "A daemon carries orders of the leader to workers." };
+    inline constexpr event carrierLost { 841, event_severity::Warning, "carrier_lost", "A carrier fell silent; its orders count as unanswered." };
 
 } // namespace events
 
--- /dev/null
+++ b/src/tasks/coordinator/carried_runs.cpp
@@ -0,0 +1,278 @@
+#include "tasks/coordinator/carried_runs.h"
+
+#include <utility>
+
+#include "tasks/coordinator/run_codec.h"
+#include "utils/events.h"
+
+namespace camphorsaddle::tasks {
+
+namespace {
+
+    // Orders of one decision and answers that arrive together travel in one message.
+    constexpr utils::milliseconds orderGatherTime { 0 };
+    constexpr utils::milliseconds replyGatherTime { 3 };
+    // A carrier gives its own call half a second, and the way there and back is 25 ms between regions.
+    constexpr utils::milliseconds answerTime { 650 };
+    // Carriers speak up twice a second.
+    constexpr utils::milliseconds carrierSilence { 1300 };
+
+} // namespace
+
+carried_runs::carried_runs(transport::event_loop& loop, external::run_control& direct, std::string replyEndpoint, send_function send)
+    : m_direct(direct)
+    , m_replyEndpoint(std::move(replyEndpoint))
+    , m_send(std::move(send))
+    , m_flush(loop, [this] { flush(); })
+{
+}
+
+carried_runs::~carried_runs() = default;
+
+void carried_runs::heard(const jobs::carrier& carrier, utils::time_point now)
+{
+    if (!m_carriers.contains(carrier.endpoint))
+        utils::logEvent(utils::events::carrierFound, { { "carrier", carrier.endpoint }, { "data_centre", carrier.dataCentre } });
+    m_carriers[carrier.endpoint] = { carrier, now };
+}
+
+void carried_runs::setDataCentre(const std::string& worker, const std::string& dataCentre)
+{
+    m_dataCentres[worker] = dataCentre;
+}
+
+void carried_runs::clear()
+{
+    m_flush.stop();
+    m_open.clear();
+    m_waiting.clear();
+    m_assigned.clear();
+    m_carriers.clear();
+}
+
+std::string carried_runs::carrierOf(const std::string& worker)
+{
+    std::string& assigned = m_assigned[worker];
+    if (m_carriers.contains(assigned))
+        return assigned;
+    std::vector<jobs::carrier> carriers;
+    for (const auto& [endpoint, known] : m_carriers)
+        carriers.push_back(known.about);
+    const auto chosen = jobs::chooseCarrier(carriers, worker, m_dataCentres[worker]);
+    assigned = chosen ? chosen->endpoint : std::string();
+    return assigned;
+}
+
+void carried_runs::queue(const std::string& carrier, protocol::RunOrder order, utils::milliseconds wait, std::function<void(const protocol::RunReply&)> settle)
+{
+    order.set_ticket(m_nextTicket++);
+    m_open[order.ticket()] = { carrier, utils::suspendedTimeIncluded() + answerTime + wait, std::move(settle) };
+    *m_waiting[carrier].add_orders() = std::move(order);
+    if (!m_flush.isActive())
+        m_flush.startOnce(orderGatherTime);
+}
+
+void carried_runs::flush()
+{
+    for (auto& [carrier, orders] : std::exchange(m_waiting, {})) {
+        protocol::CoordinatorEnvelope envelope;
+        orders.set_reply_endpoint(m_replyEndpoint);
+        *envelope.mutable_orders() = std::move(orders);
+        m_send(carrier, envelope);
+    }
+}
+
+void carried_runs::take(const protocol::RunReplies& replies, utils::time_point now)
+{
+    if (const auto known = m_carriers.find(replies.endpoint()); known != m_carriers.end())
+        known->second.heardAt = now;
+    for (const auto& reply : replies.replies()) {
+        const auto found = m_open.find(reply.ticket());
+        if (found == m_open.end())
+            continue;
+        const auto settle = std::move(found->second.settle);
+        m_open.erase(found);
+        settle(reply);
+    }
+}
+
+void carried_runs::leave(const std::string& carrier)
+{
+    utils::logEvent(utils::events::carrierLost, { { "carrier", carrier }, { "open_orders", std::to_string(m_open.size()) } });
+    m_carriers.erase(carrier);
+    std::vector<std::uint64_t> lost;
+    for (const auto& [ticket, order] : m_open) {
+        if (order.carrier == carrier)
+            lost.push_back(ticket);
+    }
+    protocol::RunReply unanswered;
+    unanswered.set_outcome(static_cast<int>(external::order_outcome::NoAnswer));
+    for (const auto ticket : lost) {
+        const auto found = m_open.find(ticket);
+        if (found == m_open.end())
+            continue;
+        const auto settle = std::move(found->second.settle);
+        m_open.erase(found);
+        settle(unanswered);
+    }
+}
+
+void carried_runs::expire(utils::time_point now)
+{
+    std::vector<std::string> silent;
+    for (const auto& [endpoint, known] : m_carriers) {
+        if (now > known.heardAt + carrierSilence)
+            silent.push_back(endpoint);
+    }
+    for (const auto& endpoint : silent)
+        leave(endpoint);
+    std::vector<std::uint64_t> late;
+    for (const auto& [ticket, order] : m_open) {
+        if (now > order.deadline)
+            late.push_back(ticket);
+    }
+    protocol::RunReply unanswered;
+    unanswered.set_outcome(static_cast<int>(external::order_outcome::NoAnswer));
+    for (const auto ticket : late) {
+        const auto found = m_open.find(ticket);
+        if (found == m_open.end())
+            continue;
+        const auto settle = std::move(found->second.settle);
+        m_open.erase(found);
+        settle(unanswered);
+    }
+}
+
+void carried_runs::start(const external::worker_address& worker, const external::run_order& order, std::function<void(external::order_reply)> callback)
+{
+    const auto carrier = carrierOf(worker.id);
+    if (carrier.empty()) {
+        m_direct.start(worker, order, std::move(callback));
+        return;
+    }
+    protocol::RunOrder message;
+    message.set_kind(protocol::RunOrder::START);
+    message.set_worker(worker.id);
+    message.set_worker_endpoint(worker.endpoint);
+    writeRun(order.run, *message.mutable_run());
+    message.set_fence(order.fence);
+    message.set_payload(order.payload);
+    message.set_checkpoint(order.checkpoint);
+    message.set_lease_end(order.leaseEnd);
+    queue(carrier, std::move(message), utils::milliseconds(0), [callback = std::move(callback)](const protocol::RunReply& reply) { callback(readOrderReply(reply)); });
+}
+
+void carried_runs::stop(const external::worker_address& worker, const external::run_id& run, std::uint64_t fence, std::function<void(external::order_reply)> callback)
+{
+    const auto carrier = carrierOf(worker.id);
+    if (carrier.empty()) {
+        m_direct.stop(worker, run, fence, std::move(callback));
+        return;
+    }
+    protocol::RunOrder message;
+    message.set_kind(protocol::RunOrder::STOP);
+    message.set_worker(worker.id);
+    message.set_worker_endpoint(worker.endpoint);
+    writeRun(run, *message.mutable_run());
+    message.set_fence(fence);
+    queue(carrier, std::move(message), utils::milliseconds(0), [callback = std::move(callback)](const protocol::RunReply& reply) { callback(readOrderReply(reply)); });
+}
+
+void carried_runs::pace(const external::worker_address& worker, const external::run_id& run, int percent, std::uint64_t fence, std::function<void(external::order_reply)> callback)
+{
+    const auto carrier = carrierOf(worker.id);
+    if (carrier.empty()) {
+        m_direct.pace(worker, run, percent, fence, std::move(callback));
+        return;
+    }
+    protocol::RunOrder message;
+    message.set_kind(protocol::RunOrder::PACE);
+    message.set_worker(worker.id);
+    message.set_worker_endpoint(worker.endpoint);
+    writeRun(run, *message.mutable_run());
+    message.set_fence(fence);
+    message.set_percent(percent);
+    queue(carrier, std::move(message), utils::milliseconds(0), [callback = std::move(callback)](const protocol::RunReply& reply) { callback(readOrderReply(reply)); });
+}
+
+void carried_runs::observe(const external::worker_address& worker, const external::observe_order& order, std::function<void(external::observe_reply)> callback)
+{
+    const auto carrier = carrierOf(worker.id);
+    if (carrier.empty()) {
+        m_direct.observe(worker, order, std::move(callback));
+        return;
+    }
+    protocol::RunOrder message;
+    message.set_kind(protocol::RunOrder::OBSERVE);
+    message.set_worker(worker.id);
+    message.set_worker_endpoint(worker.endpoint);
+    message.set_fence(order.fence);
+    message.set_acknowledged_end(order.acknowledgedEnd);
+    message.set_lease_end(order.leaseEnd);
+    message.set_wait_ms(order.wait.count());
+    queue(carrier, std::move(message), order.wait, [callback = std::move(callback)](const protocol::RunReply& reply) { callback(readObserveReply(reply)); });
+}
+
+order_carrier::order_carrier(transport::event_loop& loop, external::run_control& direct, std::string endpoint, send_function send)
+    : m_direct(direct)
+    , m_endpoint(std::move(endpoint))
+    , m_send(std::move(send))
+    , m_flush(loop, [this] { flush(); })
+{
+}
+
+order_carrier::~order_carrier() = default;
+
+void order_carrier::execute(const protocol::RunOrders& orders)
+{
+    for (const auto& order : orders.orders())
+        execute(order, orders.reply_endpoint());
+}
+
+void order_carrier::execute(const protocol::RunOrder& order, const std::string& replyEndpoint)
+{
+    const external::worker_address worker { order.worker(), order.worker_endpoint() };
+    const auto answer = [this, replyEndpoint, ticket = order.ticket(), alive = std::weak_ptr(m_alive)](const auto& result) {
+        if (alive.expired())
+            return;
+        protocol::RunReply reply;
+        reply.set_ticket(ticket);
+        writeReply(result, reply);
+        queue(replyEndpoint, std::move(reply));
+    };
+    switch (order.kind()) {
+    case protocol::RunOrder::START:
+        m_direct.start(worker, { readRun(order.run()), order.payload(), order.checkpoint(), order.lease_end(), order.fence() }, answer);
+        return;
+    case protocol::RunOrder::STOP:
+        m_direct.stop(worker, readRun(order.run()), order.fence(), answer);
+        return;
+    case protocol::RunOrder::PACE:
+        m_direct.pace(worker, readRun(order.run()), order.percent(), order.fence(), answer);
+        return;
+    case protocol::RunOrder::OBSERVE:
+        m_direct.observe(worker, { order.acknowledged_end(), order.fence(), order.lease_end(), utils::milliseconds(order.wait_ms()) }, answer);
+        return;
+    default:
+        utils::logEvent(utils::events::peerMessageDropped, { { "reason", "unknown order" }, { "peer", replyEndpoint } });
+    }
+}
+
+void order_carrier::queue(const std::string& replyEndpoint, protocol::RunReply reply)
+{
+    *m_waiting[replyEndpoint].add_replies() = std::move(reply);
+    if (!m_flush.isActive())
+        m_flush.startOnce(replyGatherTime);
+}
+
+void order_carrier::flush()
+{
+    for (auto& [endpoint, replies] : std::exchange(m_waiting, {})) {
+        protocol::CoordinatorEnvelope envelope;
+        replies.set_endpoint(m_endpoint);
+        *envelope.mutable_run_replies() = std::move(replies);
+        m_send(endpoint, envelope);
+    }
+}
+
+} // namespace camphorsaddle::tasks
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -15,6 +15,7 @@
     constexpr utils::milliseconds leaderPatience { 700 };
     // Operators' changes have to be in force within seconds; a silent watch is noticed within this time and a second.
     constexpr utils::milliseconds rulesWatchWait { 4000 };
+    constexpr utils::milliseconds helloInterval { 500 };
 
 } // namespace
 
@@ -41,6 +42,9 @@
         return utils::makeError(absl::StatusCode::kInternal, "open coordinator", "", "libcurl does not start");
     m_store = m_format.makeStore(*m_client, m_context.metrics);
     m_control = m_format.makeRunControl(*m_client);
+    const auto send = [this](const auto& endpoint, const auto& envelope) { this->send(endpoint, envelope); };
+    m_carriedRuns = std::make_unique<carried_runs>(loop(), *m_control, m_settings.peerEndpoint, send);
+    m_carrier = std::make_unique<order_carrier>(loop(), *m_control, m_settings.peerEndpoint, send);
     const auto incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<utils::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     try {
         m_peers = std::make_unique<transport::message_receiver>(loop(), m_settings.peerEndpoint, [this](zmq::message_t raw) { onPeer(std::move(raw)); });
@@ -66,6 +70,8 @@
     m_storeCalls.reset();
     m_rulesWatch.reset();
     m_lead.reset();
+    m_carrier.reset();
+    m_carriedRuns.reset();
     m_senders.clear();
     m_peers.reset();
     m_control.reset();
@@ -109,9 +115,11 @@
 {
     if (const auto ending = std::exchange(m_term, nullptr))
         ending->end();
+    m_carriedRuns->clear();
+    m_saidHelloAt = {};
     if (!m_lead->isLeader())
         return;
-    m_term = std::make_shared<leader_term>(loop(), m_settings, m_format, *m_store, *m_control, *m_lead, [this](const std::string& why) {
+    m_term = std::make_shared<leader_term>(loop(), m_settings, m_format, *m_store, *m_carriedRuns, *m_lead, [this](const std::string& why) {
         // The term must outlive the call in which it learns of its end.
         const auto ending = m_term;
         m_lead->deposed(why);
@@ -125,7 +133,7 @@
 {
     if (m_term != nullptr) {
         m_term->answer(call, [this, call](const job_reply& reply) {
-            if (reply.outcome == call_outcome::NotLeader || reply.outcome == call_outcome::Unsettled || (reply.outcome == call_outcome::Absent && call.kind == call_kind::Status))
+            if (reply.outcome == call_outcome::NotLeader || reply.outcome == call_outcome::Unsettled || (reply.outcome == call_outcome::Absent && call.kind != call_kind::Pending))
                 askStore(call);
             else
                 finish(reply);
@@ -174,27 +182,54 @@
         utils::logEvent(utils::events::peerMessageDropped, { { "reason", "unreadable" }, { "bytes", std::to_string(raw.size()) } });
         return;
     }
-    if (envelope.has_call()) {
-        const auto call = readCall(envelope.call());
-        const auto endpoint = envelope.call().reply_endpoint();
-        if (m_term == nullptr) {
-            send(endpoint, encodeReply({ call.ticket, call_outcome::NotLeader, jobs::job_phase::Queued, 0, utils::milliseconds(0), {} }));
-            return;
-        }
-        m_term->answer(call, [this, endpoint](const job_reply& reply) { send(endpoint, encodeReply(reply)); });
+    const auto now = utils::suspendedTimeIncluded();
+    switch (envelope.content_case()) {
+    case protocol::CoordinatorEnvelope::kCall:
+        onCall(envelope.call());
+        return;
+    case protocol::CoordinatorEnvelope::kReply:
+        onReply(envelope.reply());
+        return;
+    case protocol::CoordinatorEnvelope::kHello:
+        if (m_term != nullptr)
+            m_carriedRuns->heard({ envelope.hello().endpoint(), envelope.hello().data_centre() }, now);
+        return;
+    case protocol::CoordinatorEnvelope::kOrders:
+        m_carrier->execute(envelope.orders());
+        return;
+    case protocol::CoordinatorEnvelope::kRunReplies:
+        m_carriedRuns->take(envelope.run_replies(), now);
+        return;
+    case protocol::CoordinatorEnvelope::CONTENT_NOT_SET:
+        utils::logEvent(utils::events::peerMessageDropped, { { "reason", "unknown content" } });
         return;
     }
-    if (!envelope.has_reply())
+}
+
+void coordinator_task::onCall(const protocol::CoordinatorCall& message)
+{
+    const auto call = readCall(message);
+    const auto endpoint = message.reply_endpoint();
+    if (m_term == nullptr) {
+        send(endpoint, encodeReply({ call.ticket, call_outcome::NotLeader, jobs::job_phase::Queued, 0, utils::milliseconds(0), {} }));
         return;
-    auto reply = readReply(envelope.reply());
+    }
+    m_term->answer(call, [this, endpoint](const job_reply& reply) { send(endpoint, encodeReply(reply)); });
+}
+
+void coordinator_task::onReply(const protocol::CoordinatorReply& message)
+{
+    auto reply = readReply(message);
     const auto found = m_remote.find(reply.ticket);
     if (found == m_remote.end())
         return;
     const auto call = found->second.call;
     m_remote.erase(found);
-    if (reply.outcome == call_outcome::NotLeader || reply.outcome == call_outcome::Unsettled || (reply.outcome == call_outcome::Absent && call.kind == call_kind::Status)) {
-        if (reply.outcome == call_outcome::NotLeader)
-            m_lead->suspectLeader();
+    const bool isOpen = reply.outcome == call_outcome::NotLeader || reply.outcome == call_outcome::Unsettled;
+    if (reply.outcome == call_outcome::NotLeader)
+        m_lead->suspectLeader();
+    // The leader may not have heard yet of a job that was stored without it.
+    if (isOpen || (reply.outcome == call_outcome::Absent && call.kind != call_kind::Pending)) {
         askStore(call);
         return;
     }
@@ -202,9 +237,23 @@
     finish(reply);
 }
 
+// Tells the leader regularly that this daemon carries orders.
+void coordinator_task::sayHello(utils::time_point now)
+{
+    if (m_term != nullptr || m_isStopping || !m_lead->leader() || now < m_saidHelloAt + helloInterval)
+        return;
+    m_saidHelloAt = now;
+    protocol::CoordinatorEnvelope envelope;
+    envelope.mutable_hello()->set_endpoint(m_settings.peerEndpoint);
+    envelope.mutable_hello()->set_data_centre(m_settings.dataCentre);
+    send(m_lead->leader()->endpoint, envelope);
+}
+
 void coordinator_task::onTick()
 {
     const auto now = utils::suspendedTimeIncluded();
+    sayHello(now);
+    m_carriedRuns->expire(now);
     std::vector<job_call> unanswered;
     for (const auto& [ticket, remote] : m_remote) {
         if (now > remote.sentAt + std::min(leaderPatience, remote.call.patience / 2))
--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "protocol/jobs.pb.h"
+#include "tasks/coordinator/carried_runs.h"
 #include "tasks/coordinator/coordinator_messages.h"
 #include "tasks/coordinator/job_daemon_settings.h"
 #include "tasks/coordinator/leader_term.h"
@@ -37,7 +38,10 @@
     void forward(const job_call& call);
     void askStore(const job_call& call);
     void finish(const job_reply& reply);
+    void onCall(const protocol::CoordinatorCall& message);
+    void onReply(const protocol::CoordinatorReply& message);
     void onTick();
+    void sayHello(utils::time_point now);
     void send(const std::string& endpoint, const protocol::CoordinatorEnvelope& envelope);
 
     job_daemon_context& m_context;
@@ -46,6 +50,8 @@
     std::unique_ptr<transport::http_client> m_client;
     std::unique_ptr<external::transactional_store> m_store;
     std::unique_ptr<external::run_control> m_control;
+    std::unique_ptr<carried_runs> m_carriedRuns;
+    std::unique_ptr<order_carrier> m_carrier;
     std::unique_ptr<leadership> m_lead;
     std::unique_ptr<prefix_watch> m_rulesWatch;
     std::unique_ptr<store_calls> m_storeCalls;
@@ -56,6 +62,7 @@
     transport::timer m_tick;
     std::map<std::uint64_t, remote_call> m_remote;
     std::uint64_t m_nextTicket = 1;
+    utils::time_point m_saidHelloAt;
     bool m_canServe = false;
     bool m_isStopping = false;
 };
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -16,7 +16,7 @@
     // Time-driven decisions (lapses, stalls, repeats) are at least ten times as slow.
     constexpr utils::milliseconds tickInterval { 50 };
     // Events that arrive together, such as the answers of a step's starts, are decided together.
-    constexpr utils::milliseconds wakeDelay { 2 };
+    constexpr utils::milliseconds wakeDelay { 4 };
     constexpr utils::milliseconds reloadPause { 200 };
     constexpr utils::milliseconds housekeepingInterval { 1000 };
     // A waiting watch is one call; a silent one is noticed within this time and a second.
@@ -30,7 +30,7 @@
 } // namespace
 
 leader_term::leader_term(transport::event_loop& loop, const job_daemon_settings& settings, const deployment& format, external::transactional_store& store,
-    external::run_control& control, leadership& lead, std::function<void(const std::string& why)> deposed)
+    carried_runs& control, leadership& lead, std::function<void(const std::string& why)> deposed)
     : m_loop(loop)
     , m_settings(settings)
     , m_format(format)
@@ -194,6 +194,7 @@
         return;
     }
     utils::logEvent(utils::events::workerAnnounced, { { "worker", id }, { "version", std::to_string(value->version) }, { "life", std::to_string(worker->life) }, { "draining", worker->isDraining ? "true" : "false" } });
+    m_control.setDataCentre(id, worker->dataCentre);
     m_engine.announce(*worker, now);
     writeRoster();
     wake();
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "jobs/job_engine.h"
+#include "tasks/coordinator/carried_runs.h"
 #include "tasks/coordinator/coordinator_messages.h"
 #include "tasks/coordinator/job_daemon_settings.h"
 #include "tasks/coordinator/leader_writer.h"
@@ -25,7 +26,7 @@
 public:
     //! \a deposed is called when another leader was met.
     leader_term(transport::event_loop& loop, const job_daemon_settings& settings, const deployment& format, external::transactional_store& store,
-        external::run_control& control, leadership& lead, std::function<void(const std::string& why)> deposed);
+        carried_runs& control, leadership& lead, std::function<void(const std::string& why)> deposed);
 
     void begin();
     //! \brief Ends the term: callers that wait are told to ask elsewhere, and nothing is ordered any more.
@@ -58,7 +59,7 @@
     const job_daemon_settings& m_settings;
     const deployment& m_format;
     external::transactional_store& m_store;
-    external::run_control& m_control;
+    carried_runs& m_control;
     leadership& m_lead;
     std::function<void(const std::string& why)> m_deposed;
     jobs::job_engine m_engine;
--- /dev/null
+++ b/src/tasks/coordinator/run_codec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "external/run_control.h"
+#include "protocol/jobs.pb.h"
+
+namespace camphorsaddle::tasks {
+
+void writeRun(const external::run_id& run, protocol::RunName& target);
+external::run_id readRun(const protocol::RunName& source);
+
+void writeReply(const external::order_reply& reply, protocol::RunReply& target);
+void writeReply(const external::observe_reply& reply, protocol::RunReply& target);
+//! \brief NoAnswer for outcomes that this version does not know.
+external::order_reply readOrderReply(const protocol::RunReply& source);
+external::observe_reply readObserveReply(const protocol::RunReply& source);
+
+} // namespace camphorsaddle::tasks
