--- a/src/libs/jobs/interference.cpp
+++ b/src/libs/jobs/interference.cpp
@@ -11,9 +11,8 @@
     constexpr double unknownVariance = 36.0;
     constexpr double leastVariance = 0.5;
     constexpr double highestPressure = 60.0;
-    // A server's load swings between half and one and a half of its mean within five seconds.
-    constexpr double steepestSlope = 1.0;
-    constexpr double slopeRate = 0.8;
+    // The worst of a swing of ten to twenty seconds is remembered for about as long, at two samples a second.
+    constexpr double worstRecovery = 0.04;
     // Two images are enemies when the pair is known to cost this much: 0.4 of the headroom for a tenth of the worker.
     constexpr double strongPressure = 4.0;
     constexpr double knownVariance = 12.0;
@@ -69,14 +68,11 @@
     serving_sample sample { headroom, std::move(use), now, 0, {} };
     if (headroom < 1)
         sample.overSince = before.headroom > 0 && before.headroom < 1 && before.overSince != utils::time_point() ? before.overSince : now;
-    const auto gap = std::chrono::duration<double>(now - before.at).count();
-    if (before.headroom <= 0 || gap <= 0 || now - before.at > longestGap)
-        return sample;
-    const double alone = headroom + loss(serving, sample.use);
-    const double aloneBefore = before.headroom + loss(serving, before.use);
-    const double slope = std::clamp((alone - aloneBefore) / gap, -steepestSlope, steepestSlope);
-    const double weight = std::min(1.0, gap * slopeRate);
-    sample.slope = before.slope + weight * (slope - before.slope);
+    // What was waiting keeps the tail up after the company has gone, so that a saturated sample tells nothing of it.
+    const double alone = headroom < 1 ? 0 : headroom + loss(serving, sample.use);
+    sample.worstAlone = before.worstAlone;
+    if (alone > 0)
+        sample.worstAlone = before.worstAlone <= 0 ? alone : std::min(alone, before.worstAlone + worstRecovery * (alone - before.worstAlone));
     return sample;
 }
 
@@ -119,7 +115,7 @@
     }
     const double error = before.headroom - after.headroom - predicted;
     // A drop into saturation shows at least its size, a rise out of it at most.
-    const bool isBound = (after.headroom < saturatedHeadroom && error < 0) || (before.headroom < saturatedHeadroom && error > 0);
+    const bool isBound = (after.headroom < saturatedHeadroom && error < 0) || (before.headroom < 1 && error > 0);
     if (!hasChanged || isBound)
         return;
     for (image_number image = 0; image < change.size(); ++image) {
--- a/src/libs/jobs/interference.h
+++ b/src/libs/jobs/interference.h
@@ -23,8 +23,8 @@
     double headroom = 0;
     fill_use use;
     utils::time_point at;
-    //! Change of the headroom without company, by the task's own load, per second.
-    double slope = 0;
+    //! Least headroom that it lately had, or would have had, without company; 0 when unknown.
+    double worstAlone = 0;
     //! Since when it is over its target; the epoch when it is not.
     utils::time_point overSince;
 };
--- a/src/libs/jobs/job_engine_pacing.cpp
+++ b/src/libs/jobs/job_engine_pacing.cpp
@@ -9,11 +9,9 @@
 
     // Headroom (target against tail) below which work beside a serving task is slowed, which slowing aims at, and above
     // which it may go faster. Reports are half a second old and the load of the task swings meanwhile.
-    // A report is half a second old when a new pace takes effect.
-    constexpr double trendReach = 0.0;
     // All work beside a task that stays over its target for this time is stopped, whatever the model says; well below
     // the time in which neighbours count as harmful.
-    constexpr utils::milliseconds longestOver { 1200 };
+    constexpr utils::milliseconds longestOver { 2000 };
     constexpr double lowHeadroom = 1.15;
     constexpr double soughtHeadroom = 1.4;
     constexpr double ampleHeadroom = 1.6;
@@ -81,7 +79,6 @@
         const auto& spec = fill.job->spec.steps[fill.step];
         return m_interference.pressure(serving.image, fill.image) * static_cast<double>(spec.each.processors) / capacityOf(worker);
     };
-    const auto expectedHeadroom = [](const run_state& run) { return run.serving.headroom + run.serving.slope * trendReach; };
     std::map<run_state*, int> paces;
     for (auto* fill : fills)
         paces[fill] = fill->pace;
@@ -93,15 +90,15 @@
                 continue;
             const double loss = lossOf(*run, *fill);
             if (loss > harmlessLoss)
-                rise = std::min(rise, expectedHeadroom(*run) < ampleHeadroom ? 0.0 : (expectedHeadroom(*run) - soughtHeadroom) / loss / static_cast<double>(fills.size()));
+                rise = std::min(rise, run->serving.headroom < ampleHeadroom ? 0.0 : (run->serving.headroom - soughtHeadroom) / loss / static_cast<double>(fills.size()));
         }
         paces[fill] = std::min(100, fill->pace + static_cast<int>(100 * std::max(rise, 0.0)));
     }
     for (const auto* run : worker.runs) {
-        if (!isServing(*run) || run->serving.headroom <= 0 || expectedHeadroom(*run) >= lowHeadroom)
+        if (!isServing(*run) || run->serving.headroom <= 0 || run->serving.headroom >= lowHeadroom)
             continue;
         const bool isOverLong = run->serving.overSince != utils::time_point() && now > run->serving.overSince + longestOver;
-        double missing = isOverLong ? std::numeric_limits<double>::infinity() : soughtHeadroom - expectedHeadroom(*run);
+        double missing = isOverLong ? std::numeric_limits<double>::infinity() : soughtHeadroom - run->serving.headroom;
         auto culprits = fills;
         std::ranges::sort(culprits, [&](const auto* left, const auto* right) { return lossOf(*run, *left) > lossOf(*run, *right); });
         for (auto* fill : culprits) {
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -11,8 +11,8 @@
     constexpr double servingUse = 0.55;
     // Headroom beyond this is as good as any: the load of a serving task swings by less.
     constexpr double ampleHeadroom = 4.0;
-    // A task that fills lasts a few seconds.
-    constexpr double trendReach = 0.0;
+    // A task that fills lasts a few seconds, in which the load of its neighbours swings by a good part.
+    constexpr double swingWeight = 0.25;
     // Headroom that a new neighbour has to leave.
     constexpr double neededHeadroom = 1.1;
     // Headroom of a task that has not told its tail yet.
@@ -63,7 +63,11 @@
         const auto& spec = run->job->spec.steps[run->step];
         if (!spec.lasts || spec.target.count() == 0)
             continue;
-        double headroom = run->serving.headroom > 0 ? run->serving.headroom + std::min(run->serving.slope * trendReach, 0.0) : unknownHeadroom;
+        double headroom = unknownHeadroom;
+        if (run->serving.headroom > 0) {
+            const double worst = run->serving.worstAlone > 0 ? run->serving.worstAlone - interference.loss(run->image, run->serving.use) : run->serving.headroom;
+            headroom = swingWeight * std::min(worst, run->serving.headroom) + (1 - swingWeight) * run->serving.headroom;
+        }
         // What was started since the last report does not show in it yet.
         headroom -= interference.loss(run->image, worker.unreportedUse) + interference.pressure(run->image, image) * added;
         least = std::min(least, headroom);
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -42,7 +42,9 @@
         return utils::makeError(absl::StatusCode::kInternal, "open coordinator", "", "libcurl does not start");
     m_store = m_format.makeStore(*m_client, m_context.metrics);
     m_control = m_format.makeRunControl(*m_client);
-    const auto send = [this](const auto& endpoint, const auto& envelope) { this->send(endpoint, envelope); };
+    const auto send = [this](const auto& endpoint, const auto& envelope) {
+        this->send(endpoint, envelope);
+    };
     m_carriedRuns = std::make_unique<carried_runs>(loop(), *m_control, m_settings.peerEndpoint, send);
     m_carrier = std::make_unique<order_carrier>(loop(), *m_control, m_settings.peerEndpoint, send);
     const auto incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<utils::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
