Coordinator: Refuse only what nothing may have stored; search once a kind

A call that went to the leader can no longer be refused; the leader ends a caller's write when the store refuses it. Ruled out: a late transaction of the store (the write was the leader's, committed 0.2 s after the refusal).

--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -70,6 +70,7 @@
 {
     if (m_jobs.contains(job.id))
         return;
+    m_hasOpening = true;
     refreshReadiness(insert(job, now), now);
 }
 
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -150,6 +150,7 @@
     void endRestoration(utils::time_point now);
     utils::milliseconds expectedDuration(const job_state& job, unsigned step) const;
     utils::time_point objectiveOf(const job_state& job) const;
+    utils::time_point cachedObjective(job_state& job, utils::time_point now) const;
 
     engine_settings m_settings;
     std::uint64_t m_term;
@@ -173,6 +174,8 @@
     utils::time_point m_arrangedAt;
     std::size_t m_arrangementRound = 0;
     utils::time_point m_reviewedAt;
+    //! Something changed that may let a waiting task start.
+    bool m_hasOpening = true;
     //! Mean duration of a queue's runs against their estimate.
     std::map<std::string, double> m_estimateRatios;
 };
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -14,6 +14,7 @@
     }
 
     constexpr utils::milliseconds reviewInterval { 50 };
+    constexpr utils::milliseconds objectiveInterval { 500 };
     // Work that fills waits this long for a place where it harms nobody, before it takes the least harmful one.
     constexpr utils::milliseconds fillPatience { 1500 };
     // Against the share of a worker that is taken, and against headroom and idle processors.
@@ -58,8 +59,11 @@
         arrangeServing(now);
         for (auto& [id, worker] : m_workers)
             paceFills(*worker, now, commands);
+        m_hasOpening = true;
     }
-    dispatch(now, commands);
+    if (m_hasOpening)
+        dispatch(now, commands);
+    m_hasOpening = false;
     orderStops(now, commands);
     for (auto& [id, worker] : m_workers)
         observe(*worker, now, commands);
@@ -145,7 +149,6 @@
     std::vector<idle_step> result;
     for (auto* job : m_active) {
         const auto* rules = rulesOf(*job);
-        std::optional<utils::time_point> objective;
         for (unsigned number = 0; number < job->steps.size(); ++number) {
             const auto& step = job->steps[number];
             if (!step.isReady || step.doneCount == step.tasks.size())
@@ -164,13 +167,12 @@
             }
             if (idle.tasks.empty())
                 continue;
-            if (!objective)
-                objective = objectiveOf(*job);
+            const auto objective = cachedObjective(*job, now);
             const auto rest = expectedDuration(*job, number);
-            const auto threefold = job->acceptedAt + (*objective - job->acceptedAt) * 3;
-            const int lostValue = now + rest <= *objective ? 0 : now + rest <= threefold ? 1
+            const auto threefold = job->acceptedAt + (objective - job->acceptedAt) * 3;
+            const int lostValue = now + rest <= objective ? 0 : now + rest <= threefold ? 1
                                                                                          : 2;
-            idle.order = { spec.lasts ? 0 : 1, spec.lasts ? 0 : lostValue, rules == nullptr ? 9 : rules->priority, job->phase == job_phase::Running ? 0 : 1, *objective };
+            idle.order = { spec.lasts ? 0 : 1, spec.lasts ? 0 : lostValue, rules == nullptr ? 9 : rules->priority, job->phase == job_phase::Running ? 0 : 1, objective };
             result.push_back(std::move(idle));
         }
     }
@@ -218,17 +220,54 @@
     return other != nullptr && idleProcessors(*other) >= job.spec.steps[step].each.processors;
 }
 
+utils::time_point job_engine::cachedObjective(job_state& job, utils::time_point now) const
+{
+    if (now >= job.objectiveAt + objectiveInterval) {
+        job.objective = objectiveOf(job);
+        job.objectiveAt = now;
+    }
+    return job.objective;
+}
+
+namespace {
+
+    //! A task that found no place in this round; larger ones of its kind find none either.
+    struct failed_search {
+        const step_spec* step;
+        image_number image;
+        const std::string* service;
+        bool isPatient;
+    };
+
+    bool isCovered(const std::vector<failed_search>& failed, const failed_search& wanted)
+    {
+        return std::ranges::any_of(failed, [&](const failed_search& search) {
+            const auto& step = *search.step;
+            return search.isPatient == wanted.isPatient && search.image == wanted.image && step.fills == wanted.step->fills && step.lasts == wanted.step->lasts
+                && step.label == wanted.step->label && *search.service == *wanted.service && step.each.fitsIn(wanted.step->each);
+        });
+    }
+
+} // namespace
+
 void job_engine::dispatch(utils::time_point now, std::vector<engine_command>& commands)
 {
+    std::vector<failed_search> failed;
     for (const auto& idle : idleSteps(now)) {
         auto& job = *idle.job;
         const auto& spec = job.spec.steps[idle.step];
         for (const unsigned index : idle.tasks) {
             auto& task = job.steps[idle.step].tasks[index];
             const bool isPatient = !spec.fills || now < task.waitingSince + fillPatience;
+            const failed_search search { &spec, job.steps[idle.step].image, &job.spec.service, isPatient };
+            if (isCovered(failed, search))
+                break;
             auto* worker = choose(job, idle.step, task, now, isPatient ? placement_mode::Strict : placement_mode::Relaxed);
-            if (worker == nullptr)
+            if (worker == nullptr) {
+                if (spec.perWorker == 0 && task.runs.empty())
+                    failed.push_back(search);
                 break;
+            }
             auto& run = openRun(job, idle.step, index, *worker, task.lastRun + 1, now);
             if (spec.fills)
                 addUse(worker->unreportedUse, run.image, static_cast<double>(spec.each.processors) / static_cast<double>(worker->about.capacity.processors));
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -48,6 +48,7 @@
 
 void job_engine::closeRun(run_state& run, utils::time_point now)
 {
+    m_hasOpening = true;
     auto& worker = *run.worker;
     auto& task = taskOf(run);
     const auto& spec = run.job->spec.steps[run.step];
@@ -120,6 +121,7 @@
     auto& task = job.steps[step].tasks[index];
     if (task.isDone)
         return;
+    m_hasOpening = true;
     task.isDone = true;
     ++job.steps[step].doneCount;
     changed(job);
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -98,6 +98,9 @@
     std::uint64_t version = 0;
     std::uint64_t storedVersion = 0;
     bool isCancelStored = false;
+    //! Time by which its caller wants it, as of \a objectiveAt.
+    utils::time_point objective;
+    utils::time_point objectiveAt;
 };
 
 //! \brief An end that may be acknowledged once the store has the job's course up to a version.
--- a/src/tasks/coordinator/coordinator_messages.h
+++ b/src/tasks/coordinator/coordinator_messages.h
@@ -50,6 +50,8 @@
     jobs::job_spec job;
     //! Time that the caller still waits.
     utils::milliseconds patience { 0 };
+    //! A former attempt, by the leader, may have stored it; it can no longer be refused.
+    bool mayBeStored = false;
 };
 
 struct job_reply {
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -136,7 +136,7 @@
     if (m_term != nullptr) {
         m_term->answer(call, [this, call](const job_reply& reply) {
             if (reply.outcome == call_outcome::NotLeader || reply.outcome == call_outcome::Unsettled || (reply.outcome == call_outcome::Absent && call.kind != call_kind::Pending))
-                askStore(call);
+                askStore(call, reply.outcome == call_outcome::Unsettled);
             else
                 finish(reply);
         });
@@ -145,7 +145,7 @@
     if (m_lead->leader())
         forward(call);
     else
-        askStore(call);
+        askStore(call, false);
 }
 
 void coordinator_task::forward(const job_call& call)
@@ -157,8 +157,9 @@
     send(m_lead->leader()->endpoint, encodeCall(sent, m_settings.peerEndpoint));
 }
 
-void coordinator_task::askStore(const job_call& call)
+void coordinator_task::askStore(job_call call, bool mayBeStored)
 {
+    call.mayBeStored = mayBeStored;
     m_storeCalls->settle(call, [this](const job_reply& reply) { finish(reply); });
 }
 
@@ -232,7 +233,7 @@
         m_lead->suspectLeader();
     // The leader may not have heard yet of a job that was stored without it.
     if (isOpen || (reply.outcome == call_outcome::Absent && call.kind != call_kind::Pending)) {
-        askStore(call);
+        askStore(call, reply.outcome == call_outcome::Unsettled);
         return;
     }
     reply.ticket = call.ticket;
@@ -265,7 +266,7 @@
     for (auto& call : unanswered) {
         utils::logEvent(utils::events::leaderSilent, { { "job", call.subject }, { "leader", m_lead->leader() ? m_lead->leader()->daemon : "" } });
         call.patience -= std::min(leaderPatience, call.patience / 2);
-        askStore(call);
+        askStore(call, true);
     }
     const bool canServe = m_rules != nullptr && !m_isStopping && (m_lead->isStoreReached() || m_lead->leader() || m_term != nullptr);
     if (canServe != m_canServe) {
--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -36,7 +36,8 @@
     void onRules(const std::string& key, const external::key_value* value);
     void settle(const job_call& call);
     void forward(const job_call& call);
-    void askStore(const job_call& call);
+    //! \a mayBeStored tells that the leader may have stored or may still store it.
+    void askStore(job_call call, bool mayBeStored);
     void finish(const job_reply& reply);
     void onCall(const protocol::CoordinatorCall& message);
     void onReply(const protocol::CoordinatorReply& message);
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -212,7 +212,7 @@
     if (!m_adopting.insert(id).second)
         return;
     const auto deadline = utils::suspendedTimeIncluded() + ownWriteTime;
-    m_writer.submit({ store_keys::inbox + id, std::nullopt, markVersion, deadline, [this, id](write_outcome outcome, external::revision, const external::key_value*) {
+    m_writer.submit({ store_keys::inbox + id, std::nullopt, markVersion, deadline, false, [this, id](write_outcome outcome, external::revision, const external::key_value*) {
                          m_adopting.erase(id);
                          if (outcome == write_outcome::Deposed) {
                              m_deposed("its key is gone");
@@ -295,7 +295,7 @@
         return;
     }
     m_submissions[id].push_back([respond](job_reply settled) { respond(settled.outcome, settled.retryAfter, settled.reason); });
-    m_writer.submit({ store_keys::job(id), jobs::encodeJob(call.job), 0, now + call.patience, [this, job = call.job](write_outcome outcome, external::revision, const external::key_value* present) {
+    m_writer.submit({ store_keys::job(id), jobs::encodeJob(call.job), 0, now + call.patience, true, [this, job = call.job](write_outcome outcome, external::revision, const external::key_value* present) {
                          settleSubmission(job, outcome, present);
                      } },
         true);
@@ -351,7 +351,7 @@
         return;
     }
     const auto deadline = utils::suspendedTimeIncluded() + call.patience;
-    m_writer.submit({ store_keys::cancellation(call.subject), "cancelled", 0, deadline, [this, id = call.subject, respond](write_outcome outcome, external::revision, const external::key_value* present) {
+    m_writer.submit({ store_keys::cancellation(call.subject), "cancelled", 0, deadline, true, [this, id = call.subject, respond](write_outcome outcome, external::revision, const external::key_value* present) {
                          const bool isStored = outcome == write_outcome::Committed || (outcome == write_outcome::Conflict && present != nullptr);
                          utils::logEvent(utils::events::jobCancelled, { { "job", id }, { "stored", isStored ? "true" : "false" } });
                          if (isStored)
@@ -441,7 +441,7 @@
             continue;
         }
         m_storing.insert(write.job);
-        m_writer.submit({ store_keys::progress(write.job), write.value, m_progressVersions[write.job], deadline, [this, job = write.job, version = write.version](write_outcome outcome, external::revision at, const external::key_value* present) {
+        m_writer.submit({ store_keys::progress(write.job), write.value, m_progressVersions[write.job], deadline, false, [this, job = write.job, version = write.version](write_outcome outcome, external::revision at, const external::key_value* present) {
                              m_storing.erase(job);
                              switch (outcome) {
                              case write_outcome::Committed:
@@ -473,7 +473,7 @@
     if (m_hasEnded || m_isStoringRoster || !m_engine.needsRoster())
         return;
     m_isStoringRoster = true;
-    m_writer.submit({ store_keys::roster, jobs::encodeRoster(roster), m_rosterVersion, utils::suspendedTimeIncluded() + ownWriteTime, [this, roster](write_outcome outcome, external::revision at, const external::key_value* present) {
+    m_writer.submit({ store_keys::roster, jobs::encodeRoster(roster), m_rosterVersion, utils::suspendedTimeIncluded() + ownWriteTime, false, [this, roster](write_outcome outcome, external::revision at, const external::key_value* present) {
                          m_isStoringRoster = false;
                          if (outcome == write_outcome::Deposed) {
                              m_deposed("its key is gone");
@@ -501,7 +501,7 @@
                 return;
             m_progressVersions.erase(id);
             for (const auto& entry : listing->entries) {
-                m_writer.submit({ entry.key, std::nullopt, entry.version, deadline, [key = entry.key](write_outcome outcome, external::revision, const external::key_value*) {
+                m_writer.submit({ entry.key, std::nullopt, entry.version, deadline, false, [key = entry.key](write_outcome outcome, external::revision, const external::key_value*) {
                                      if (outcome != write_outcome::Committed)
                                          utils::logEvent(utils::events::jobNotErased, { { "key", key } });
                                  } },
--- a/src/tasks/coordinator/leader_writer.cpp
+++ b/src/tasks/coordinator/leader_writer.cpp
@@ -110,7 +110,17 @@
             for (auto& queued : writes)
                 queued.mayBeWritten = true;
         }
-        requeue(writes);
+        batch rest;
+        for (auto& queued : writes) {
+            if (alive.expired())
+                return;
+            if (queued.write.endsWhenRefused && !queued.mayBeWritten)
+                queued.write.done(write_outcome::NotWritten, 0, nullptr);
+            else
+                rest.push_back(std::move(queued));
+        }
+        if (!alive.expired())
+            requeue(rest);
         return;
     }
     if (m_isTroubled)
--- a/src/tasks/coordinator/leader_writer.h
+++ b/src/tasks/coordinator/leader_writer.h
@@ -31,6 +31,8 @@
     std::optional<std::string> value;
     external::revision expectedVersion = 0;
     utils::time_point deadline;
+    //! A caller waits: a refusal by the store ends the write instead of a repetition.
+    bool endsWhenRefused = false;
     //! \a present is the key's present value in a conflict, null when the key does not exist.
     std::function<void(write_outcome outcome, external::revision at, const external::key_value* present)> done;
 };
--- a/src/tasks/coordinator/store_calls.cpp
+++ b/src/tasks/coordinator/store_calls.cpp
@@ -59,6 +59,7 @@
     auto current = std::make_shared<attempt>();
     current->call = call;
     current->reply = std::move(reply);
+    current->mayBeStored = call.mayBeStored;
     current->deadline = utils::suspendedTimeIncluded() + call.patience - answerMargin;
     switch (call.kind) {
     case call_kind::Submit:
