--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -171,7 +171,7 @@
             const auto rest = expectedDuration(*job, number);
             const auto threefold = job->acceptedAt + (objective - job->acceptedAt) * 3;
             const int lostValue = now + rest <= objective ? 0 : now + rest <= threefold ? 1
-                                                                                         : 2;
+                                                                                        : 2;
             idle.order = { spec.lasts ? 0 : 1, spec.lasts ? 0 : lostValue, rules == nullptr ? 9 : rules->priority, job->phase == job_phase::Running ? 0 : 1, objective };
             result.push_back(std::move(idle));
         }
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -180,7 +180,8 @@
     const bool isNeeded = mayHaveRuns || worker.lastEnd > worker.acknowledgedEnd || (!worker.isFenced && worker.isAnnounced);
     const auto order = [&](utils::milliseconds wait) {
         external::observe_order result { worker.acknowledgedEnd, m_term, 0, wait };
-        if (worker.isFenced && worker.clock != 0 && !worker.runs.empty())
+        // A silent worker gets no new lease, so that what it ran may start elsewhere when the last one has lapsed.
+        if (worker.isFenced && worker.clock != 0 && worker.silences == 0 && !worker.runs.empty())
             result.leaseEnd = grantLease(worker, now);
         return result;
     };
