--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -131,6 +131,8 @@
     void sampleServing(worker_state& worker, utils::time_point now);
     void paceFills(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
     void dispatch(utils::time_point now, std::vector<engine_command>& commands);
+    void startHeld(job_state& job, unsigned step, unsigned index, utils::time_point now, std::vector<engine_command>& commands);
+    void startTask(job_state& job, unsigned step, unsigned index, worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
     std::vector<idle_step> idleSteps(utils::time_point now) const;
     //! Strict places leave every neighbour within its target; relaxed ones are taken after a wait.
     enum class placement_mode {
@@ -143,6 +145,10 @@
     void arrangeServing(utils::time_point now);
     bool moveServer(run_state& run, utils::time_point now);
     bool swapServer(run_state& run, const std::vector<run_state*>& others, utils::time_point now);
+    //! \brief Keeps room for a task that is stopped to move, so that it neither returns nor loses its place.
+    void holdPlace(run_state& run, worker_state& target, utils::time_point now);
+    void releasePlace(job_state& job, unsigned step, task_state& task);
+    void releaseOldPlaces(utils::time_point now);
     bool mayServe(const worker_state& worker, const step_spec& step, utils::time_point now) const;
     bool hasBetterPlace(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const;
     void orderStops(utils::time_point now, std::vector<engine_command>& commands);
@@ -173,6 +179,8 @@
     std::vector<double> m_fillDemand;
     utils::time_point m_arrangedAt;
     std::size_t m_arrangementRound = 0;
+    //! Tasks with a held place, by job, step and index.
+    std::vector<external::task_id> m_holders;
     utils::time_point m_reviewedAt;
     //! Something changed that may let a waiting task start.
     bool m_hasOpening = true;
--- a/src/libs/jobs/job_engine_arrangement.cpp
+++ b/src/libs/jobs/job_engine_arrangement.cpp
@@ -12,12 +12,14 @@
     // Searches for a place in one round; they cost the leader's processor.
     constexpr unsigned searchLimit = 8;
     // Tasks that are away for a move at one time, against all that serve.
-    constexpr double mostMoving = 0.03;
+    constexpr double mostMoving = 0.05;
     // A task that was moved stays for this time.
     constexpr utils::milliseconds settleTime { 6000 };
     // Share of the demand on one worker that a move has to win; a move costs about a second of service.
     constexpr double leastGain = 0.03;
     constexpr double demandMemory = 0.9;
+    // A stop takes up to half a second and its report as long; the other one of a swap has to leave as well.
+    constexpr utils::milliseconds holdTime { 2000 };
 
     bool hasTarget(const run_state& run)
     {
@@ -112,6 +114,7 @@
     stopRun(run, now, absl::StrCat("it opens its worker to ", static_cast<int>(100 * gain), "% of the filling work"));
     removeBlockers(run.worker->blockers, enemies);
     addBlockers(target->blockers, enemies);
+    holdPlace(run, *target, now);
     return true;
 }
 
@@ -150,9 +153,42 @@
     addBlockers(run.worker->blockers, bestEnemies);
     removeBlockers(best->worker->blockers, bestEnemies);
     addBlockers(best->worker->blockers, enemies);
+    holdPlace(run, *best->worker, now);
+    holdPlace(*best, *run.worker, now);
     return true;
 }
 
+void job_engine::holdPlace(run_state& run, worker_state& target, utils::time_point now)
+{
+    auto& task = taskOf(run);
+    releasePlace(*run.job, run.step, task);
+    task.heldOn = &target;
+    task.heldUntil = now + holdTime;
+    target.charged = target.charged + run.job->spec.steps[run.step].each;
+    m_holders.push_back(idOf(run).task);
+}
+
+void job_engine::releasePlace(job_state& job, unsigned step, task_state& task)
+{
+    if (task.heldOn == nullptr)
+        return;
+    task.heldOn->charged = task.heldOn->charged - job.spec.steps[step].each;
+    task.heldOn = nullptr;
+}
+
+void job_engine::releaseOldPlaces(utils::time_point now)
+{
+    std::erase_if(m_holders, [&](const external::task_id& id) {
+        job_state* job = nullptr;
+        auto* task = findTask({ id, 0 }, &job);
+        if (task == nullptr)
+            return true;
+        if (now > task->heldUntil || isFinal(job->phase))
+            releasePlace(*job, id.step, *task);
+        return task->heldOn == nullptr;
+    });
+}
+
 bool job_engine::mayServe(const worker_state& worker, const step_spec& step, utils::time_point now) const
 {
     auto weightless = step;
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -20,6 +20,9 @@
     // Against the share of a worker that is taken, and against headroom and idle processors.
     constexpr double servingArrangementWeight = 4.0;
     constexpr double fillArrangementWeight = 0.5;
+    // Headroom that a task which fills has to leave to the servers beside it.
+    constexpr double strictHeadroom = 1.1;
+    constexpr double relaxedHeadroom = 0.7;
     // A run is taken as stalled when its rest needs this many times the duration of a sibling.
     constexpr double stalledFactor = 1.6;
     constexpr double unknownStalledFactor = 4.0;
@@ -56,6 +59,7 @@
         expireLeases(now);
         moveFromLeaving(now);
         findStalledRuns(now);
+        releaseOldPlaces(now);
         arrangeServing(now);
         for (auto& [id, worker] : m_workers)
             paceFills(*worker, now, commands);
@@ -201,7 +205,7 @@
             continue;
         if (std::ranges::any_of(task.runs, [&](const auto& run) { return run->worker == worker.get(); }))
             continue;
-        if (spec.fills && mode == placement_mode::Strict && !fillFits(*worker, spec, image, m_interference))
+        if (spec.fills && !fillFits(*worker, spec, image, m_interference, mode == placement_mode::Strict ? strictHeadroom : relaxedHeadroom))
             continue;
         double cost = placementCost(*worker, spec, image, m_interference) + arrangementCost(*worker, spec, image);
         if (std::ranges::find(task.avoided, id) != task.avoided.end())
@@ -258,6 +262,10 @@
         const auto& spec = job.spec.steps[idle.step];
         for (const unsigned index : idle.tasks) {
             auto& task = job.steps[idle.step].tasks[index];
+            if (task.heldOn != nullptr) {
+                startHeld(job, idle.step, index, now, commands);
+                continue;
+            }
             const bool isPatient = !spec.fills || now < task.waitingSince + fillPatience;
             const failed_search search { &spec, job.steps[idle.step].image, &job.spec.service, isPatient };
             if (isCovered(failed, search))
@@ -268,15 +276,40 @@
                     failed.push_back(search);
                 break;
             }
-            auto& run = openRun(job, idle.step, index, *worker, task.lastRun + 1, now);
-            if (spec.fills)
-                addUse(worker->unreportedUse, run.image, static_cast<double>(spec.each.processors) / static_cast<double>(worker->about.capacity.processors));
-            run.checkpoint = spec.checkpoints ? task.checkpoint : std::string();
-            commands.push_back(start_command { { worker->about.id, worker->about.endpoint }, { idOf(run), job.spec.payload, run.checkpoint, grantLease(*worker, now), m_term } });
+            startTask(job, idle.step, index, *worker, now, commands);
         }
     }
 }
 
+// A task that moves waits for its place until the hold ends.
+void job_engine::startHeld(job_state& job, unsigned step, unsigned index, utils::time_point now, std::vector<engine_command>& commands)
+{
+    auto& task = job.steps[step].tasks[index];
+    const auto& spec = job.spec.steps[step];
+    const auto& each = spec.each;
+    auto& worker = *task.heldOn;
+    const bool isFull = spec.perWorker > 0 && runsOfStep(worker, job, step) >= spec.perWorker;
+    if (isFull || !mayServe(worker, spec, now)) {
+        releasePlace(job, step, task);
+        return;
+    }
+    if (!each.fitsIn(worker.about.capacity - worker.charged + each))
+        return;
+    releasePlace(job, step, task);
+    startTask(job, step, index, worker, now, commands);
+}
+
+void job_engine::startTask(job_state& job, unsigned step, unsigned index, worker_state& worker, utils::time_point now, std::vector<engine_command>& commands)
+{
+    auto& task = job.steps[step].tasks[index];
+    const auto& spec = job.spec.steps[step];
+    auto& run = openRun(job, step, index, worker, task.lastRun + 1, now);
+    if (spec.fills)
+        addUse(worker.unreportedUse, run.image, static_cast<double>(spec.each.processors) / static_cast<double>(worker.about.capacity.processors));
+    run.checkpoint = spec.checkpoints ? task.checkpoint : std::string();
+    commands.push_back(start_command { { worker.about.id, worker.about.endpoint }, { idOf(run), job.spec.payload, run.checkpoint, grantLease(worker, now), m_term } });
+}
+
 void job_engine::orderStops(utils::time_point now, std::vector<engine_command>& commands)
 {
     for (auto& [id, worker] : m_workers) {
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -68,6 +68,9 @@
     utils::time_point notBefore;
     //! Since when it could run and does not.
     utils::time_point waitingSince;
+    //! Worker with room that is kept for it, while it moves there.
+    worker_state* heldOn = nullptr;
+    utils::time_point heldUntil;
     std::vector<std::unique_ptr<run_state>> runs;
     //! Numbers of runs whose end is known.
     std::vector<std::uint64_t> closedRuns;
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -13,8 +13,6 @@
     constexpr double ampleHeadroom = 4.0;
     // A task that fills lasts a few seconds, in which the load of its neighbours swings by a good part.
     constexpr double swingWeight = 0.25;
-    // Headroom that a new neighbour has to leave.
-    constexpr double neededHeadroom = 1.1;
     // Headroom of a task that has not told its tail yet.
     constexpr double unknownHeadroom = 2.0;
     // Weight of headroom against idle processors in the choice for work that fills.
@@ -75,10 +73,10 @@
     return least;
 }
 
-bool fillFits(const worker_state& worker, const step_spec& step, image_number image, const interference_model& interference)
+bool fillFits(const worker_state& worker, const step_spec& step, image_number image, const interference_model& interference, double needed)
 {
     const double share = static_cast<double>(step.each.processors) / static_cast<double>(std::max<std::int64_t>(worker.about.capacity.processors, 1));
-    return headroomWith(worker, image, share, interference) >= neededHeadroom;
+    return headroomWith(worker, image, share, interference) >= needed;
 }
 
 double placementCost(const worker_state& worker, const step_spec& step, image_number image, const interference_model& interference)
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -25,8 +25,8 @@
 //! Without such a task the headroom is unlimited.
 double headroomWith(const worker_state& worker, image_number image, double added, const interference_model& interference);
 
-//! \brief Whether a task that fills leaves every task that serves on the worker within its target.
-bool fillFits(const worker_state& worker, const step_spec& step, image_number image, const interference_model& interference);
+//! \brief Whether a task that fills leaves the headroom \a needed to every task that serves on the worker.
+bool fillFits(const worker_state& worker, const step_spec& step, image_number image, const interference_model& interference, double needed);
 
 //! \brief Processors that tasks which fill could use on the worker, thousandths of a core.
 std::int64_t idleProcessors(const worker_state& worker);
