Coordinator: List rules and workers beside their watches

Rules are listed each second, workers each 1.8 s beside the watch. A new leader sets the pace of runs that it adopts, since a former one may have slowed them.

--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -117,6 +117,7 @@
         run->phase = run_phase::Running;
         run->runningSince = now;
         run->firstPercent = report.percent;
+        run->isPaceKnown = false;
         note(note_kind::RunAdopted, *run, isWanted ? "of a former leader" : "not wanted");
         if (job->phase == job_phase::Queued)
             job->phase = job_phase::Running;
--- a/src/libs/jobs/job_engine_pacing.cpp
+++ b/src/libs/jobs/job_engine_pacing.cpp
@@ -66,6 +66,7 @@
 {
     if (worker.fillProcessors == 0 || !worker.isFenced)
         return;
+    const bool isOver = std::ranges::any_of(worker.runs, [](const auto* run) { return isServing(*run) && run->serving.headroom > 0 && run->serving.headroom < 1; });
     std::vector<run_state*> fills;
     for (auto* run : worker.runs) {
         if (!run->job->spec.steps[run->step].fills || run->phase != run_phase::Running)
@@ -73,6 +74,11 @@
         // While a pace takes effect the report says nothing about it.
         if (run->isPacing || worker.answeredAt < run->pacedAt + paceEffect)
             return;
+        if (!run->isPaceKnown) {
+            run->isPacing = true;
+            commands.push_back(pace_command { { worker.about.id, worker.about.endpoint }, idOf(*run), isOver ? 0 : 100 });
+            continue;
+        }
         fills.push_back(run);
     }
     const auto lossOf = [&](const run_state& serving, const run_state& fill) {
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -309,8 +309,10 @@
         return;
     run->isPacing = false;
     run->pacedAt = now;
-    if (reply.outcome == external::order_outcome::Accepted)
-        run->pace = percent;
+    if (reply.outcome != external::order_outcome::Accepted)
+        return;
+    run->pace = percent;
+    run->isPaceKnown = true;
 }
 
 void job_engine::loseRuns(worker_state& worker, utils::time_point now, const std::string& why)
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -48,6 +48,8 @@
     std::int64_t load = 0;
     //! Share at which the run may work, percent.
     int pace = 100;
+    //! Whether this leader knows the share; a former one may have set it.
+    bool isPaceKnown = true;
     utils::time_point pacedAt;
     bool isPacing = false;
     //! Last sample of a task that serves.
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -15,6 +15,8 @@
     constexpr utils::milliseconds leaderPatience { 700 };
     // Operators' changes have to be in force within seconds; a silent watch is noticed within this time and a second.
     constexpr utils::milliseconds rulesWatchWait { 4000 };
+    // The watch may hear nothing for seconds; a change has to be in force within two and a half.
+    constexpr utils::milliseconds rulesRefresh { 1000 };
     constexpr utils::milliseconds helloInterval { 500 };
 
 } // namespace
@@ -30,6 +32,7 @@
     , m_format(format)
     , m_rules(nullptr)
     , m_tick(loop(), [this] { onTick(); })
+    , m_refresh(loop(), [this] { m_rulesWatch->refresh(); })
 {
 }
 
@@ -61,12 +64,14 @@
     m_rulesWatch->start();
     m_lead->start();
     m_tick.startRepeating(tickInterval);
+    m_refresh.startRepeating(rulesRefresh);
     return absl::OkStatus();
 }
 
 void coordinator_task::close()
 {
     m_tick.stop();
+    m_refresh.stop();
     if (const auto ending = std::exchange(m_term, nullptr))
         ending->end();
     m_storeCalls.reset();
--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -61,6 +61,7 @@
     std::shared_ptr<leader_term> m_term;
     std::shared_ptr<const jobs::deployment_rules> m_rules;
     transport::timer m_tick;
+    transport::timer m_refresh;
     std::map<std::uint64_t, remote_call> m_remote;
     std::uint64_t m_nextTicket = 1;
     utils::time_point m_saidHelloAt;
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -21,6 +21,8 @@
     constexpr utils::milliseconds housekeepingInterval { 1000 };
     // A waiting watch is one call; a silent one is noticed within this time and a second.
     constexpr utils::milliseconds watchWait { 5000 };
+    // A worker that leaves gets no new tasks after two and a half seconds, also while the watch hears nothing.
+    constexpr utils::milliseconds workerRefresh { 1800 };
     constexpr std::size_t progressBatch = 64;
     constexpr std::size_t forgetBatch = 32;
     // The leader keeps trying until it is deposed; a caller's write ends with its patience.
@@ -48,6 +50,7 @@
     , m_wake(loop, [this] { drive(); })
     , m_reload(loop, [this] { loadJobs(); })
     , m_housekeeping(loop, [this] { writeRoster(); forgetJobs(); })
+    , m_refresh(loop, [this] { m_workers.refresh(); })
     , m_begunAt(utils::suspendedTimeIncluded())
 {
 }
@@ -65,7 +68,7 @@
 void leader_term::end()
 {
     m_hasEnded = true;
-    for (auto* timer : { &m_tick, &m_wake, &m_reload, &m_housekeeping })
+    for (auto* timer : { &m_tick, &m_wake, &m_reload, &m_housekeeping, &m_refresh })
         timer->stop();
     m_writer.abandon();
     for (auto& [call, reply] : std::exchange(m_waiting, {}))
@@ -174,6 +177,7 @@
     m_inbox.start();
     m_tick.startRepeating(tickInterval);
     m_housekeeping.startRepeating(housekeepingInterval);
+    m_refresh.startRepeating(workerRefresh);
     for (auto& [call, reply] : std::exchange(m_waiting, {}))
         answer(call, reply);
     wake();
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -70,6 +70,7 @@
     transport::timer m_wake;
     transport::timer m_reload;
     transport::timer m_housekeeping;
+    transport::timer m_refresh;
     bool m_isLoaded = false;
     bool m_hasEnded = false;
     utils::time_point m_begunAt;
--- a/src/tasks/coordinator/prefix_watch.cpp
+++ b/src/tasks/coordinator/prefix_watch.cpp
@@ -38,6 +38,22 @@
         list();
 }
 
+void prefix_watch::refresh()
+{
+    if (m_isListing || m_isRefreshing || !m_isSynced)
+        return;
+    m_isRefreshing = true;
+    const auto generation = m_generation;
+    m_store.list(m_prefix, "", 0, [this, generation, alive = std::weak_ptr(m_alive)](absl::StatusOr<external::key_listing> listing) {
+        if (alive.expired())
+            return;
+        m_isRefreshing = false;
+        // A failure shows at the watch as well, which lists again.
+        if (generation == m_generation && listing.ok() && listing->at >= m_at)
+            take(*listing);
+    });
+}
+
 bool prefix_watch::isSynced() const
 {
     return m_isSynced;
@@ -76,7 +92,7 @@
     for (const auto& entry : listing.entries)
         values.emplace(entry.key, entry);
     const auto before = std::exchange(m_values, std::move(values));
-    m_at = listing.at;
+    m_at = std::max(m_at, listing.at);
     m_isSynced = true;
     const auto alive = std::weak_ptr(m_alive);
     for (const auto& [key, value] : before) {
--- a/src/tasks/coordinator/prefix_watch.h
+++ b/src/tasks/coordinator/prefix_watch.h
@@ -28,6 +28,8 @@
     void start();
     //! \brief Lists soon, whatever the watch says.
     void relist();
+    //! \brief Lists beside the watch, which may hear nothing for seconds although the store answers.
+    void refresh();
     bool isSynced() const;
 
     const std::map<std::string, external::key_value>& values() const
@@ -36,8 +38,6 @@
     }
 
 private:
-    struct handle;
-
     void list();
     void watch();
     void take(const external::key_listing& listing);
@@ -54,6 +54,7 @@
     external::revision m_at = 0;
     bool m_isSynced = false;
     bool m_isListing = false;
+    bool m_isRefreshing = false;
     unsigned m_failures = 0;
     //! Counts the listings, so that an answer to an older watch is not continued.
     std::uint64_t m_generation = 0;
