--- a/src/libs/jobs/interference.cpp
+++ b/src/libs/jobs/interference.cpp
@@ -82,6 +82,31 @@
     return serving < m_enemies.size() ? m_enemies[serving] : s_none;
 }
 
+std::vector<learned_pressure> interference_model::learned() const
+{
+    std::vector<std::string> names(m_numbers.size());
+    for (const auto& [name, image] : m_numbers)
+        names[image] = name;
+    std::vector<learned_pressure> result;
+    for (image_number serving = 0; serving < m_estimates.size(); ++serving) {
+        for (image_number fill = 0; fill < m_estimates[serving].size(); ++fill) {
+            const auto& known = m_estimates[serving][fill];
+            if (known.variance < unknownVariance)
+                result.push_back({ names[serving], names[fill], known.mean, known.variance });
+        }
+    }
+    return result;
+}
+
+void interference_model::restore(const std::vector<learned_pressure>& pressures)
+{
+    for (const auto& entry : pressures) {
+        auto& known = estimateOf(number(entry.serving), number(entry.fill));
+        known.mean = std::clamp(entry.mean, 0.0, highestPressure);
+        known.variance = std::clamp(entry.variance, leastVariance, unknownVariance);
+    }
+}
+
 void interference_model::refresh()
 {
     m_enemies.assign(m_numbers.size(), {});
--- a/src/libs/jobs/interference.h
+++ b/src/libs/jobs/interference.h
@@ -29,6 +29,16 @@
     utils::time_point overSince;
 };
 
+//! \brief What is known of one pair of images.
+struct learned_pressure {
+    std::string serving;
+    std::string fill;
+    double mean = 0;
+    double variance = 0;
+
+    auto operator<=>(const learned_pressure&) const = default;
+};
+
 //! \brief How much headroom a task that serves loses by work that fills beside it, learned for each pair of images.
 //!
 //! The tail of a server grows as 1 / (1 - utilization), so that headroom falls linearly with utilization and with what
@@ -50,6 +60,9 @@
     serving_sample follow(image_number serving, const serving_sample& before, double headroom, fill_use use, utils::time_point now) const;
     //! \brief Compares two samples of one task.
     void learn(image_number serving, const serving_sample& before, const serving_sample& after);
+    //! \brief All pairs that were learned, for the next leader.
+    std::vector<learned_pressure> learned() const;
+    void restore(const std::vector<learned_pressure>& pressures);
     //! \brief Decides anew which images are enemies.
     void refresh();
 
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -274,6 +274,17 @@
         worker->isOnRoster = std::ranges::binary_search(m_storedRoster, id);
 }
 
+learned_record job_engine::learned() const
+{
+    return { m_interference.learned(), m_estimateRatios };
+}
+
+void job_engine::restoreLearned(const learned_record& learned)
+{
+    m_interference.restore(learned.pressures);
+    m_estimateRatios = learned.ratios;
+}
+
 std::vector<std::string> job_engine::forgetFinished(utils::time_point now, std::size_t limit)
 {
     std::vector<std::string> forgotten;
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -71,6 +71,8 @@
     //! \brief Whether the stored roster lacks a worker or names one that can hold no run any more.
     bool needsRoster() const;
     void rosterStored(const std::vector<std::string>& workers);
+    learned_record learned() const;
+    void restoreLearned(const learned_record& learned);
     //! \brief Forgets jobs that ended long ago and tells their ids.
     std::vector<std::string> forgetFinished(utils::time_point now, std::size_t limit);
 
--- a/src/libs/jobs/job_record.cpp
+++ b/src/libs/jobs/job_record.cpp
@@ -141,6 +141,24 @@
     return record.SerializeAsString();
 }
 
+std::string encodeLearned(const learned_record& learned)
+{
+    protocol::LearnedRecord record;
+    for (const auto& pressure : learned.pressures) {
+        auto& target = *record.add_pressures();
+        target.set_serving(pressure.serving);
+        target.set_fill(pressure.fill);
+        target.set_mean(pressure.mean);
+        target.set_variance(pressure.variance);
+    }
+    for (const auto& [queue, ratio] : learned.ratios) {
+        auto& target = *record.add_ratios();
+        target.set_queue(queue);
+        target.set_ratio(ratio);
+    }
+    return record.SerializeAsString();
+}
+
 std::string encodeRoster(const std::vector<std::string>& workers)
 {
     protocol::WorkerRoster record;
@@ -176,6 +194,19 @@
     return leader_record { record->daemon(), record->incarnation(), record->endpoint(), record->term() };
 }
 
+absl::StatusOr<learned_record> parseLearned(const std::string& value)
+{
+    const auto record = parseRecord<protocol::LearnedRecord>(value, "read learned values");
+    if (!record.ok())
+        return record.status();
+    learned_record learned;
+    for (const auto& pressure : record->pressures())
+        learned.pressures.push_back({ pressure.serving(), pressure.fill(), pressure.mean(), pressure.variance() });
+    for (const auto& ratio : record->ratios())
+        learned.ratios[ratio.queue()] = ratio.ratio();
+    return learned;
+}
+
 absl::StatusOr<std::vector<std::string>> parseRoster(const std::string& value)
 {
     const auto record = parseRecord<protocol::WorkerRoster>(value, "read roster");
--- a/src/libs/jobs/job_record.h
+++ b/src/libs/jobs/job_record.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "jobs/interference.h"
 #include "jobs/job.h"
 
 namespace camphorsaddle::protocol {
@@ -43,18 +45,29 @@
     auto operator<=>(const leader_record&) const = default;
 };
 
+//! \brief What a leader learned of the work, which the next one starts from.
+struct learned_record {
+    std::vector<learned_pressure> pressures;
+    //! Duration of a queue's runs against their estimate.
+    std::map<std::string, double> ratios;
+
+    auto operator<=>(const learned_record&) const = default;
+};
+
 void writeJob(const job_spec& job, protocol::JobRecord& record);
 job_spec readJob(const protocol::JobRecord& record);
 
 std::string encodeJob(const job_spec& job);
 std::string encodeProgress(const job_progress& progress);
 std::string encodeLeader(const leader_record& leader);
+std::string encodeLearned(const learned_record& learned);
 std::string encodeRoster(const std::vector<std::string>& workers);
 
 //! \brief Decoders of stored values; DataLoss for bytes that this codec did not write.
 absl::StatusOr<job_spec> parseJob(const std::string& value);
 absl::StatusOr<job_progress> parseProgress(const std::string& value);
 absl::StatusOr<leader_record> parseLeader(const std::string& value);
+absl::StatusOr<learned_record> parseLearned(const std::string& value);
 absl::StatusOr<std::vector<std::string>> parseRoster(const std::string& value);
 
 } // namespace camphorsaddle::jobs
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -23,6 +23,8 @@
     constexpr utils::milliseconds watchWait { 5000 };
     // A worker that leaves gets no new tasks after two and a half seconds, also while the watch hears nothing.
     constexpr utils::milliseconds workerRefresh { 1800 };
+    // What a new leader would have to learn anew; a write with others costs little.
+    constexpr utils::milliseconds learnedInterval { 2000 };
     constexpr std::size_t progressBatch = 64;
     constexpr std::size_t forgetBatch = 32;
     // The leader keeps trying until it is deposed; a caller's write ends with its patience.
@@ -52,6 +54,7 @@
     , m_housekeeping(loop, [this] { writeRoster(); forgetJobs(); })
     , m_refresh(loop, [this] { m_workers.refresh(); })
     , m_begunAt(utils::suspendedTimeIncluded())
+    , m_learning(loop, [this] { writeLearned(); })
 {
 }
 
@@ -68,7 +71,7 @@
 void leader_term::end()
 {
     m_hasEnded = true;
-    for (auto* timer : { &m_tick, &m_wake, &m_reload, &m_housekeeping, &m_refresh })
+    for (auto* timer : { &m_tick, &m_wake, &m_reload, &m_housekeeping, &m_refresh, &m_learning })
         timer->stop();
     m_writer.abandon();
     for (auto& [call, reply] : std::exchange(m_waiting, {}))
@@ -98,7 +101,7 @@
             return;
         }
         restore(*listing);
-        loadRoster();
+        loadLearned();
     });
 }
 
@@ -144,6 +147,41 @@
     }
 }
 
+// What was learned only saves time: the term begins without it when it can't be read.
+void leader_term::loadLearned()
+{
+    m_store.read(store_keys::learned, [this, self = weak_from_this()](absl::StatusOr<external::key_value> value) {
+        const auto guard = self.lock();
+        if (!guard)
+            return;
+        if (value.ok()) {
+            m_learnedVersion = value->version;
+            if (const auto learned = jobs::parseLearned(value->value); learned.ok())
+                m_engine.restoreLearned(*learned);
+            else
+                utils::logEvent(utils::events::storedValueUnreadable, { { "key", store_keys::learned }, { "error", utils::describe(learned.status()) } });
+        }
+        loadRoster();
+    });
+}
+
+void leader_term::writeLearned()
+{
+    if (m_hasEnded || m_isStoringLearned)
+        return;
+    m_isStoringLearned = true;
+    m_writer.submit({ store_keys::learned, jobs::encodeLearned(m_engine.learned()), m_learnedVersion, utils::suspendedTimeIncluded() + ownWriteTime, false, [this](write_outcome outcome, external::revision at, const external::key_value* present) {
+                         m_isStoringLearned = false;
+                         if (outcome == write_outcome::Committed)
+                             m_learnedVersion = at;
+                         else if (outcome == write_outcome::Conflict)
+                             m_learnedVersion = present == nullptr ? 0 : present->version;
+                         else if (outcome == write_outcome::Deposed)
+                             m_deposed("its key is gone");
+                     } },
+        false);
+}
+
 void leader_term::loadRoster()
 {
     m_store.read(store_keys::roster, [this, self = weak_from_this()](absl::StatusOr<external::key_value> value) {
@@ -178,6 +216,7 @@
     m_tick.startRepeating(tickInterval);
     m_housekeeping.startRepeating(housekeepingInterval);
     m_refresh.startRepeating(workerRefresh);
+    m_learning.startRepeating(learnedInterval);
     for (auto& [call, reply] : std::exchange(m_waiting, {}))
         answer(call, reply);
     wake();
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -38,6 +38,7 @@
 
 private:
     void loadJobs();
+    void loadLearned();
     void loadRoster();
     void restore(const external::key_listing& listing);
     void serve(const std::vector<std::string>& roster);
@@ -52,6 +53,7 @@
     void execute(const jobs::engine_command& command);
     void writeProgress();
     void writeRoster();
+    void writeLearned();
     void forgetJobs();
     void note(const jobs::engine_note& note) const;
 
@@ -74,6 +76,7 @@
     bool m_isLoaded = false;
     bool m_hasEnded = false;
     utils::time_point m_begunAt;
+    transport::timer m_learning;
     std::vector<std::pair<job_call, reply_function>> m_waiting;
     //! Submissions whose write is under way, with everyone who waits for it.
     std::map<std::string, std::vector<reply_function>> m_submissions;
@@ -81,6 +84,8 @@
     std::set<std::string> m_storing;
     external::revision m_rosterVersion = 0;
     bool m_isStoringRoster = false;
+    external::revision m_learnedVersion = 0;
+    bool m_isStoringLearned = false;
     std::set<std::string> m_adopting;
 };
 
--- a/src/tasks/coordinator/leadership.h
+++ b/src/tasks/coordinator/leadership.h
@@ -28,6 +28,7 @@
     inline const std::string leader = "camphorsaddle/lead/leader";
     inline const std::string term = "camphorsaddle/lead/term";
     inline const std::string roster = "camphorsaddle/roster";
+    inline const std::string learned = "camphorsaddle/learned";
     inline const std::string jobs = "camphorsaddle/job/";
     //! Marks of jobs and cancellations that were stored without the leader.
     inline const std::string inbox = "camphorsaddle/inbox/";
--- /dev/null
+++ b/tests/auto/jobs/fleet_world.cpp
@@ -0,0 +1,400 @@
+#include "jobs/fleet_world.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "utils/overloaded.h"
+
+namespace camphorsaddle::jobs::test {
+
+namespace {
+
+    constexpr utils::milliseconds tick { 10 };
+    constexpr utils::milliseconds orderDelay { 2 };
+    constexpr utils::milliseconds callTimeout { 500 };
+    constexpr utils::milliseconds storeDelay { 15 };
+    constexpr utils::milliseconds longestLease { 10'000 };
+
+} // namespace
+
+step_spec batchStep(unsigned count, std::vector<unsigned> after)
+{
+    step_spec step;
+    step.count = count;
+    step.each = { 2'000, 4'000, 0 };
+    step.estimate = fleet_world::taskTime;
+    step.after = std::move(after);
+    return step;
+}
+
+step_spec servingStep(unsigned count, const std::string& image)
+{
+    step_spec step = batchStep(count);
+    step.each = { 6'000, 8'000, 0 };
+    step.lasts = true;
+    step.image = image;
+    step.target = utils::milliseconds(150);
+    return step;
+}
+
+step_spec fillingStep(unsigned count, const std::string& image)
+{
+    step_spec step = batchStep(count);
+    step.fills = true;
+    step.image = image;
+    step.checkpoints = true;
+    return step;
+}
+
+job_spec makeJob(const std::string& id, std::vector<step_spec> steps)
+{
+    return { id, "queue", "service", "payload", std::move(steps), utils::milliseconds(0) };
+}
+
+deployment_rules defaultRules()
+{
+    return { 1, { { "queue", "host", "/queue/", "service", 0, 3, 1.5, utils::milliseconds(400), utils::milliseconds(3000), false } } };
+}
+
+fleet_world::fleet_world(std::uint64_t seed)
+    : m_now(utils::time_point() + std::chrono::hours(1))
+    , m_random(seed)
+    , m_engine(std::make_unique<job_engine>(engine_settings {}, 1, [](const engine_note&) {}))
+{
+    setRules(defaultRules());
+    m_engine->beginTerm({}, m_now);
+}
+
+void fleet_world::setRules(deployment_rules rules)
+{
+    m_rules = std::make_shared<deployment_rules>(std::move(rules));
+    m_engine->setRules(m_rules);
+}
+
+fake_worker& fleet_world::addWorker(const std::string& id, model::resources capacity)
+{
+    auto& worker = m_workers[id];
+    worker = std::make_unique<fake_worker>();
+    worker->about = { id, "address of " + id, "service", "dc", "rack", { "a", "rack" }, capacity, false, utils::milliseconds(0), 1 };
+    m_engine->announce(worker->about, m_now);
+    return *worker;
+}
+
+void fleet_world::restartWorker(const std::string& id)
+{
+    auto& worker = *m_workers.at(id);
+    const auto about = worker.about;
+    worker = fake_worker();
+    worker.about = about;
+    ++worker.about.life;
+    m_engine->announce(worker.about, m_now);
+}
+
+void fleet_world::submit(const job_spec& job)
+{
+    m_jobs[job.id] = job;
+    m_engine->add(job, m_now);
+}
+
+void fleet_world::cancel(const std::string& id)
+{
+    m_cancelled.insert(id);
+    m_cancelledAt[id] = m_now;
+    m_engine->cancel(id, m_now);
+}
+
+void fleet_world::changeLeader()
+{
+    m_engine = std::make_unique<job_engine>(engine_settings {}, ++m_term, [](const engine_note&) {});
+    m_engine->setRules(m_rules);
+    for (const auto& [id, job] : m_jobs)
+        m_engine->restore(job, m_progress[id], m_cancelled.contains(id), m_now);
+    m_engine->beginTerm(m_roster, m_now);
+    for (const auto& [id, worker] : m_workers)
+        m_engine->announce(worker->about, m_now);
+}
+
+external::worker_time fleet_world::clockOf() const
+{
+    return std::chrono::duration_cast<utils::milliseconds>(m_now.time_since_epoch()).count();
+}
+
+void fleet_world::schedule(utils::milliseconds delay, std::function<void()> action)
+{
+    m_events.push_back({ m_now + delay, m_nextEvent++, std::move(action) });
+    std::ranges::push_heap(m_events, std::greater());
+}
+
+void fleet_world::run(utils::milliseconds duration)
+{
+    const auto end = m_now + duration;
+    while (m_now < end)
+        step();
+}
+
+bool fleet_world::runUntil(const std::function<bool()>& condition, utils::milliseconds limit)
+{
+    const auto end = m_now + limit;
+    while (m_now < end) {
+        if (condition())
+            return true;
+        step();
+    }
+    return condition();
+}
+
+void fleet_world::step()
+{
+    m_now += tick;
+    while (!m_events.empty() && m_events.front().at <= m_now) {
+        std::ranges::pop_heap(m_events, std::greater());
+        const auto action = std::move(m_events.back().action);
+        m_events.pop_back();
+        action();
+    }
+    for (auto& [id, worker] : m_workers)
+        endRuns(*worker);
+    for (const auto& command : m_engine->decide(m_now)) {
+        ++m_commandCount;
+        execute(command);
+    }
+    storeProgress();
+}
+
+void fleet_world::storeProgress()
+{
+    if (m_isStoreDown)
+        return;
+    if (m_engine->needsRoster()) {
+        m_roster = m_engine->roster();
+        m_engine->rosterStored(m_roster);
+    }
+    for (const auto& write : m_engine->takeProgress(64)) {
+        m_progress[write.job] = *parseProgress(write.value);
+        schedule(storeDelay, [this, write, term = m_term] {
+            if (term == m_term)
+                m_engine->progressStored(write.job, write.version);
+        });
+    }
+}
+
+void fleet_world::close(fake_worker& worker, const external::task_id& task, external::end_cause cause)
+{
+    const auto run = worker.running.at(task).run;
+    worker.running.erase(task);
+    worker.closed[task] = run.number;
+    worker.ended.push_back({ worker.nextEnd++, run, cause, cause == external::end_cause::Stopped ? "checkpoint" : "" });
+    if (cause == external::end_cause::Done)
+        m_done.insert(task);
+    if (cause == external::end_cause::Failed)
+        ++m_failures[task];
+}
+
+void fleet_world::endRuns(fake_worker& worker)
+{
+    std::vector<std::pair<external::task_id, external::end_cause>> ending;
+    for (const auto& [task, run] : worker.running) {
+        if (m_now >= worker.leaseEnd)
+            ending.emplace_back(task, external::end_cause::LeaseLapsed);
+        else if (!run.lasts && m_now >= run.endsAt && !worker.faults.hangs)
+            ending.emplace_back(task, worker.faults.failsAll ? external::end_cause::Failed : external::end_cause::Done);
+    }
+    for (const auto& [task, cause] : ending)
+        close(worker, task, cause);
+    for (const auto& [id, at] : m_cancelledAt) {
+        const bool runsOn = std::ranges::any_of(worker.running, [&](const auto& entry) { return entry.first.job == id; });
+        if (runsOn && !worker.faults.isSilent && m_now > at + std::chrono::seconds(12))
+            m_violations.push_back(absl::StrCat("a task of ", id, " runs on after its cancellation"));
+    }
+}
+
+void fleet_world::execute(const engine_command& command)
+{
+    const auto term = m_term;
+    std::visit(utils::overloaded {
+                   [&](const start_command& order) { start(order); },
+                   [&](const stop_command& order) {
+                       auto& worker = *m_workers.at(order.worker.id);
+                       if (worker.faults.isSilent) {
+                           schedule(callTimeout, [this, order, term] {
+                               if (term == m_term)
+                                   m_engine->stopAnswered(order.worker.id, order.run, { external::order_outcome::NoAnswer, 0 }, m_now);
+                           });
+                           return;
+                       }
+                       schedule(orderDelay, [this, order, term, &worker] {
+                           auto outcome = external::order_outcome::Accepted;
+                           if (term < worker.fence)
+                               outcome = external::order_outcome::Fenced;
+                           else if (worker.running.contains(order.run.task) && worker.running.at(order.run.task).run == order.run)
+                               close(worker, order.run.task, external::end_cause::Stopped);
+                           else
+                               worker.closed[order.run.task] = std::max(worker.closed[order.run.task], order.run.number);
+                           worker.fence = std::max(worker.fence, term);
+                           if (term == m_term)
+                               m_engine->stopAnswered(order.worker.id, order.run, { outcome, clockOf() }, m_now);
+                       });
+                   },
+                   [&](const pace_command& order) {
+                       schedule(orderDelay, [this, order, term] {
+                           auto& worker = *m_workers.at(order.worker.id);
+                           if (const auto found = worker.running.find(order.run.task); found != worker.running.end())
+                               found->second.pace = order.percent;
+                           if (term == m_term)
+                               m_engine->paceAnswered(order.worker.id, order.run, order.percent, { external::order_outcome::Accepted, clockOf() }, m_now);
+                       });
+                   },
+                   [&](const observe_command& order) { observe(order); },
+               },
+        command);
+}
+
+// An end counts when it was acknowledged, or will be by a worker whose lease has not lapsed since.
+bool fleet_world::isDoneForGood(const external::task_id& task) const
+{
+    const auto isListed = [&](const auto& entry) {
+        return m_now < entry.second->leaseEnd && std::ranges::any_of(entry.second->ended, [&](const auto& end) { return end.run.task == task && end.cause == external::end_cause::Done; });
+    };
+    return m_noted.contains(task) || std::ranges::any_of(m_workers, isListed);
+}
+
+void fleet_world::checkStart(const fake_worker& worker, const external::run_order& order)
+{
+    const auto& task = order.run.task;
+    const auto& job = m_jobs.at(task.job);
+    const auto& step = job.steps[task.step];
+    if (isDoneForGood(task) && !step.speculative)
+        m_violations.push_back(absl::StrCat(task.job, ".", task.step, ".", task.index, " started after it was done"));
+    for (const auto& [id, other] : m_workers) {
+        if (!step.speculative && other->running.contains(task))
+            m_violations.push_back(absl::StrCat(task.job, ".", task.step, ".", task.index, " runs on ", id, " and ", worker.about.id));
+    }
+    for (const unsigned before : step.after) {
+        for (unsigned index = 0; index < job.steps[before].count; ++index) {
+            if (!m_done.contains({ task.job, 0, before, index }))
+                m_violations.push_back(absl::StrCat(task.job, ".", task.step, " started before step ", before, " was done"));
+        }
+    }
+    if (!step.lasts && m_failures[task] >= 3)
+        m_violations.push_back(absl::StrCat(task.job, ".", task.step, ".", task.index, " started after its last attempt"));
+    model::resources used = step.fills ? model::resources { 0, step.each.memory, 0 } : step.each;
+    for (const auto& [other, run] : worker.running) {
+        const auto& otherStep = m_jobs.at(other.job).steps[other.step];
+        used = used + (otherStep.fills ? model::resources { 0, otherStep.each.memory, 0 } : otherStep.each);
+    }
+    if (!used.fitsIn(worker.about.capacity))
+        m_violations.push_back(absl::StrCat(worker.about.id, " carries more than its capacity"));
+    const auto alike = std::ranges::count_if(worker.running, [&](const auto& entry) { return entry.first.job == task.job && entry.first.step == task.step; });
+    if (step.perWorker > 0 && alike >= step.perWorker)
+        m_violations.push_back(absl::StrCat(worker.about.id, " runs too many tasks of ", task.job));
+}
+
+external::order_reply fleet_world::apply(fake_worker& worker, const external::run_order& order)
+{
+    if (order.fence < worker.fence)
+        return { external::order_outcome::Fenced, clockOf() };
+    worker.fence = order.fence;
+    const auto end = std::min(utils::time_point() + utils::milliseconds(order.leaseEnd), m_now + longestLease);
+    if (end <= m_now)
+        return { external::order_outcome::LeaseOver, clockOf() };
+    worker.leaseEnd = std::max(worker.leaseEnd, end);
+    if (worker.running.contains(order.run.task) && worker.running.at(order.run.task).run == order.run)
+        return { external::order_outcome::Accepted, clockOf() };
+    if (worker.closed.contains(order.run.task) && order.run.number <= worker.closed.at(order.run.task))
+        return { external::order_outcome::Outdated, clockOf() };
+    checkStart(worker, order);
+    const auto& step = m_jobs.at(order.run.task.job).steps[order.run.task.step];
+    worker.running[order.run.task] = { order.run, m_now + taskTime, step.lasts };
+    ++m_starts[order.run.task];
+    return { external::order_outcome::Accepted, clockOf() };
+}
+
+void fleet_world::start(const start_command& command)
+{
+    auto& worker = *m_workers.at(command.worker.id);
+    const auto answer = [this, command, term = m_term, sentAt = m_now](const external::order_reply& reply) {
+        if (term == m_term)
+            m_engine->startAnswered(command.worker.id, command.order.run, reply, sentAt, m_now);
+    };
+    if (worker.faults.isSilent) {
+        schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
+        return;
+    }
+    if (worker.faults.isUnhealthy) {
+        schedule(orderDelay, [answer] { answer({ external::order_outcome::Unhealthy, 0 }); });
+        return;
+    }
+    if (worker.faults.lateBy.count() > 0 && m_random() % 2 == 0) {
+        schedule(worker.faults.lateBy, [this, &worker, command, life = worker.about.life] {
+            if (worker.about.life == life)
+                apply(worker, command.order);
+        });
+        schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
+        return;
+    }
+    schedule(orderDelay, [this, &worker, command, answer] {
+        const auto reply = apply(worker, command.order);
+        if (!worker.faults.losesAnswers)
+            schedule(orderDelay, [answer, reply] { answer(reply); });
+        else
+            schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
+    });
+}
+
+void fleet_world::observe(const observe_command& command)
+{
+    const auto answer = [this, command, term = m_term, sentAt = m_now](const external::observe_reply& reply) {
+        if (term == m_term)
+            m_engine->observed(command.worker.id, command, reply, sentAt, m_now);
+    };
+    const auto look = [this, command, answer] {
+        auto& worker = *m_workers.at(command.worker.id);
+        if (worker.faults.isSilent) {
+            schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, {} }); });
+            return;
+        }
+        if (command.order.fence < worker.fence) {
+            answer({ external::order_outcome::Fenced, {} });
+            return;
+        }
+        worker.fence = command.order.fence;
+        if (command.order.leaseEnd != 0)
+            worker.leaseEnd = std::max(worker.leaseEnd, std::min(utils::time_point() + utils::milliseconds(command.order.leaseEnd), m_now + longestLease));
+        for (const auto& end : worker.ended) {
+            if (end.number <= command.order.acknowledgedEnd && end.cause == external::end_cause::Done)
+                m_noted.insert(end.run.task);
+        }
+        std::erase_if(worker.ended, [&](const auto& end) { return end.number <= command.order.acknowledgedEnd; });
+        external::observe_reply reply { external::order_outcome::Accepted, { clockOf(), worker.about.life, {}, worker.ended } };
+        for (const auto& [task, run] : worker.running) {
+            const auto left = std::chrono::duration_cast<utils::milliseconds>(run.endsAt - m_now).count();
+            const int percent = run.lasts ? 100 : worker.faults.hangs ? 0
+                                                                      : static_cast<int>(std::clamp<std::int64_t>(100 - 100 * left / taskTime.count(), 0, 99));
+            const std::int64_t load = run.lasts ? (worker.tail ? worker.tail(worker, run.run) : 30) : 2000 * run.pace / 100;
+            reply.seen.running.push_back({ run.run, "", percent, load });
+        }
+        answer(reply);
+    };
+    // Answers at the next end or after the wait; a short poll is enough here.
+    schedule(orderDelay + std::min(command.order.wait, utils::milliseconds(100)), look);
+}
+
+unsigned fleet_world::startsOf(const external::task_id& task) const
+{
+    const auto found = m_starts.find(task);
+    return found == m_starts.end() ? 0 : found->second;
+}
+
+std::vector<std::string> fleet_world::placesOf(const std::string& job) const
+{
+    std::vector<std::string> places;
+    for (const auto& [id, worker] : m_workers) {
+        for (const auto& [task, run] : worker->running) {
+            if (task.job == job)
+                places.push_back(id);
+        }
+    }
+    return places;
+}
+
+} // namespace camphorsaddle::jobs::test
--- /dev/null
+++ b/tests/auto/jobs/fleet_world.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jobs/job_engine.h"
+
+namespace camphorsaddle::jobs::test {
+
+//! \brief What goes wrong between the engine and one worker.
+struct worker_faults {
+    bool isSilent = false;
+    //! Takes orders but its answers are lost.
+    bool losesAnswers = false;
+    //! Orders to start take effect this long after they were sent, without an answer.
+    utils::milliseconds lateBy { 0 };
+    bool failsAll = false;
+    bool hangs = false;
+    bool isUnhealthy = false;
+};
+
+//! \brief A worker in virtual time that keeps the rules of the workers' protocol.
+struct fake_worker {
+    struct fake_run {
+        external::run_id run;
+        utils::time_point endsAt;
+        bool lasts = false;
+        int pace = 100;
+    };
+
+    worker_description about;
+    worker_faults faults;
+    std::uint64_t fence = 0;
+    utils::time_point leaseEnd;
+    std::map<external::task_id, fake_run> running;
+    std::map<external::task_id, std::uint64_t> closed;
+    std::vector<external::run_end> ended;
+    std::uint64_t nextEnd = 1;
+    //! Tail of the servers with an image in ms, by the images that fill beside it.
+    std::function<std::int64_t(const fake_worker&, const external::run_id&)> tail;
+};
+
+//! \brief A fleet of fake workers, an engine, and a store that takes progress after a delay; checks promises as it runs.
+class fleet_world {
+public:
+    explicit fleet_world(std::uint64_t seed = 1);
+
+    utils::time_point now() const
+    {
+        return m_now;
+    }
+    job_engine& engine()
+    {
+        return *m_engine;
+    }
+    fake_worker& worker(const std::string& id)
+    {
+        return *m_workers.at(id);
+    }
+
+    fake_worker& addWorker(const std::string& id, model::resources capacity = { 32'000, 128'000, 0 });
+    //! \brief The worker's process dies and starts again under its id.
+    void restartWorker(const std::string& id);
+    void submit(const job_spec& job);
+    void cancel(const std::string& id);
+    void setRules(deployment_rules rules);
+    //! \brief The leader dies and another one begins its term from what the store has.
+    void changeLeader();
+    void setStoreDown(bool isDown)
+    {
+        m_isStoreDown = isDown;
+    }
+    void run(utils::milliseconds duration);
+    //! \brief Runs until the condition holds; false after the limit.
+    bool runUntil(const std::function<bool()>& condition, utils::milliseconds limit);
+
+    std::optional<job_phase> phase(const std::string& id) const
+    {
+        return m_engine->phase(id);
+    }
+    unsigned startsOf(const external::task_id& task) const;
+    //! \brief Workers that run a task of the job now.
+    std::vector<std::string> placesOf(const std::string& job) const;
+    //! \brief Promises that were broken, in order.
+    const std::vector<std::string>& violations() const
+    {
+        return m_violations;
+    }
+    std::size_t commandCount() const
+    {
+        return m_commandCount;
+    }
+
+    static constexpr utils::milliseconds taskTime { 400 };
+
+private:
+    struct event {
+        utils::time_point at;
+        std::uint64_t number;
+        std::function<void()> action;
+
+        bool operator>(const event& other) const
+        {
+            return std::tie(at, number) > std::tie(other.at, other.number);
+        }
+    };
+
+    void schedule(utils::milliseconds delay, std::function<void()> action);
+    void step();
+    void execute(const engine_command& command);
+    void start(const start_command& command);
+    external::order_reply apply(fake_worker& worker, const external::run_order& order);
+    void observe(const observe_command& command);
+    void endRuns(fake_worker& worker);
+    void close(fake_worker& worker, const external::task_id& task, external::end_cause cause);
+    bool isDoneForGood(const external::task_id& task) const;
+    void checkStart(const fake_worker& worker, const external::run_order& order);
+    void storeProgress();
+    external::worker_time clockOf() const;
+
+    utils::time_point m_now;
+    std::mt19937_64 m_random;
+    std::uint64_t m_nextEvent = 0;
+    std::vector<event> m_events;
+    std::map<std::string, std::unique_ptr<fake_worker>> m_workers;
+    std::unique_ptr<job_engine> m_engine;
+    std::uint64_t m_term = 1;
+    std::shared_ptr<const deployment_rules> m_rules;
+    std::map<std::string, job_spec> m_jobs;
+    std::map<std::string, job_progress> m_progress;
+    std::set<std::string> m_cancelled;
+    std::map<std::string, utils::time_point> m_cancelledAt;
+    std::vector<std::string> m_roster;
+    bool m_isStoreDown = false;
+    std::map<external::task_id, unsigned> m_starts;
+    std::set<external::task_id> m_done;
+    //! Tasks whose end "done" was acknowledged.
+    std::set<external::task_id> m_noted;
+    std::map<external::task_id, unsigned> m_failures;
+    std::vector<std::string> m_violations;
+    std::size_t m_commandCount = 0;
+};
+
+//! \brief Shapes of jobs for tests.
+step_spec batchStep(unsigned count, std::vector<unsigned> after = {});
+step_spec servingStep(unsigned count, const std::string& image);
+step_spec fillingStep(unsigned count, const std::string& image);
+job_spec makeJob(const std::string& id, std::vector<step_spec> steps);
+deployment_rules defaultRules();
+
+} // namespace camphorsaddle::jobs::test
--- /dev/null
+++ b/tests/auto/jobs/tst_job_engine.cpp
@@ -0,0 +1,251 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "jobs/fleet_world.h"
+
+using namespace camphorsaddle;
+using namespace camphorsaddle::jobs;
+using namespace camphorsaddle::jobs::test;
+
+namespace {
+
+constexpr utils::milliseconds settleTime { 20'000 };
+
+bool isCompleted(const fleet_world& world, const std::string& job)
+{
+    return world.phase(job) == job_phase::Completed;
+}
+
+} // namespace
+
+struct fault_case {
+    const char* name;
+    void (*inject)(fleet_world& world);
+    void (*heal)(fleet_world& world);
+    //! Time until the jobs have to be completed after the fault began.
+    utils::milliseconds limit;
+};
+
+class JobEngineUnderFault : public testing::TestWithParam<fault_case> {
+};
+
+// Each row is a trouble of the users' deployments; jobs complete, and no promise is broken on the way.
+INSTANTIATE_TEST_SUITE_P(Faults, JobEngineUnderFault,
+    testing::Values(
+        fault_case { "none", [](fleet_world&) {}, [](fleet_world&) {}, utils::milliseconds(3000) },
+        fault_case { "silentWorker", [](fleet_world& world) { world.worker("w1").faults.isSilent = true; }, [](fleet_world&) {}, utils::milliseconds(9000) },
+        fault_case { "restartedWorker", [](fleet_world& world) { world.restartWorker("w1"); }, [](fleet_world&) {}, utils::milliseconds(3000) },
+        fault_case { "lostAnswers", [](fleet_world& world) { world.worker("w1").faults.losesAnswers = true; }, [](fleet_world&) {}, utils::milliseconds(5000) },
+        fault_case { "lateOrders", [](fleet_world& world) { world.worker("w1").faults.lateBy = utils::milliseconds(2500); }, [](fleet_world&) {}, utils::milliseconds(8000) },
+        fault_case { "unhealthyWorker", [](fleet_world& world) { world.worker("w1").faults.isUnhealthy = true; }, [](fleet_world&) {}, utils::milliseconds(5000) },
+        fault_case { "failingWorker", [](fleet_world& world) { world.worker("w1").faults.failsAll = true; }, [](fleet_world&) {}, utils::milliseconds(6000) },
+        fault_case { "hangingWorker", [](fleet_world& world) { world.worker("w1").faults.hangs = true; }, [](fleet_world&) {}, utils::milliseconds(9000) },
+        fault_case { "changeOfLeader", [](fleet_world& world) { world.changeLeader(); }, [](fleet_world&) {}, utils::milliseconds(4000) },
+        fault_case { "twoChangesOfLeader", [](fleet_world& world) { world.changeLeader(); world.run(utils::milliseconds(100)); world.changeLeader(); }, [](fleet_world&) {}, utils::milliseconds(5000) },
+        fault_case { "changeOfLeaderBesideSilentWorker", [](fleet_world& world) { world.worker("w1").faults.isSilent = true; world.changeLeader(); }, [](fleet_world&) {}, utils::milliseconds(16'000) },
+        fault_case { "storeDown", [](fleet_world& world) { world.setStoreDown(true); world.run(utils::milliseconds(3000)); }, [](fleet_world& world) { world.setStoreDown(false); }, utils::milliseconds(6000) }),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST_P(JobEngineUnderFault, CompletesJobsAndKeepsPromises)
+{
+    fleet_world world;
+    for (const char* id : { "w1", "w2", "w3", "w4" })
+        world.addWorker(id);
+    world.run(utils::milliseconds(200));
+    for (int number = 0; number < 6; ++number)
+        world.submit(makeJob("job" + std::to_string(number), { batchStep(6), batchStep(4, { 0 }) }));
+    world.run(utils::milliseconds(150));
+    GetParam().inject(world);
+    GetParam().heal(world);
+    const bool isDone = world.runUntil([&] {
+        return std::ranges::all_of(std::vector { 0, 1, 2, 3, 4, 5 }, [&](int number) { return isCompleted(world, "job" + std::to_string(number)); });
+    },
+        GetParam().limit);
+    EXPECT_TRUE(isDone);
+    EXPECT_EQ(world.violations(), std::vector<std::string>());
+}
+
+class JobEngineUnderMixedFaults : public testing::TestWithParam<std::uint64_t> {
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, JobEngineUnderMixedFaults, testing::Range<std::uint64_t>(1, 25));
+
+// Random series of faults, cancellations and changes of the leader; broken by taking out the wait for silent workers
+// in endRestoration, by a lease for silent workers in observe, and by adopting runs without the look at closedRuns.
+TEST_P(JobEngineUnderMixedFaults, KeepsPromises)
+{
+    fleet_world world(GetParam());
+    std::mt19937_64 random(GetParam());
+    std::vector<std::string> ids;
+    for (int number = 0; number < 5; ++number) {
+        ids.push_back("w" + std::to_string(number));
+        world.addWorker(ids.back());
+    }
+    world.run(utils::milliseconds(200));
+    int jobs = 0;
+    for (int round = 0; round < 40; ++round) {
+        for (unsigned count = 0; count < random() % 3; ++count)
+            world.submit(makeJob("job" + std::to_string(jobs++), { batchStep(1 + random() % 6), batchStep(1 + random() % 4, { 0 }) }));
+        auto& faults = world.worker(ids[random() % ids.size()]).faults;
+        switch (random() % 9) {
+        case 0:
+            faults.isSilent = !faults.isSilent;
+            break;
+        case 1:
+            faults.losesAnswers = !faults.losesAnswers;
+            break;
+        case 2:
+            faults.lateBy = utils::milliseconds(random() % 2 == 0 ? 2500 : 0);
+            break;
+        case 3:
+            world.restartWorker(ids[random() % ids.size()]);
+            break;
+        case 4:
+            world.changeLeader();
+            break;
+        case 5:
+            world.setStoreDown(random() % 2 == 0);
+            break;
+        case 6:
+            if (jobs > 0)
+                world.cancel("job" + std::to_string(random() % static_cast<unsigned>(jobs)));
+            break;
+        default:
+            break;
+        }
+        world.run(utils::milliseconds(100 + random() % 500));
+    }
+    world.setStoreDown(false);
+    for (const auto& id : ids)
+        world.worker(id).faults = {};
+    world.run(settleTime);
+    EXPECT_EQ(world.violations(), std::vector<std::string>());
+    for (int number = 0; number < jobs; ++number) {
+        const auto phase = world.phase("job" + std::to_string(number));
+        ASSERT_TRUE(phase);
+        EXPECT_TRUE(isFinal(*phase)) << "job" << number << " is " << toString(*phase);
+    }
+}
+
+TEST(JobEngine, SilentWorkerLosesItsPlaceOnTheRoster)
+{
+    fleet_world world;
+    world.addWorker("w1");
+    world.addWorker("w2");
+    world.submit(makeJob("job", { servingStep(2, "image") }));
+    ASSERT_TRUE(world.runUntil([&] { return world.placesOf("job").size() == 2; }, utils::milliseconds(2000)));
+    world.worker("w1").faults.isSilent = true;
+    world.engine().withdraw("w1", world.now());
+    world.run(utils::milliseconds(9000));
+    const auto roster = world.engine().roster();
+    EXPECT_EQ(std::ranges::count(roster, "w1"), 0);
+    EXPECT_EQ(std::ranges::count(world.placesOf("job"), "w2"), 2);
+}
+
+TEST(JobEngine, TaskThatLastsIsBackAfterItsWorkerRestarts)
+{
+    fleet_world world;
+    world.addWorker("w1");
+    world.addWorker("w2");
+    world.submit(makeJob("job", { servingStep(4, "image") }));
+    ASSERT_TRUE(world.runUntil([&] { return world.placesOf("job").size() == 4; }, utils::milliseconds(2000)));
+    world.restartWorker("w1");
+    EXPECT_TRUE(world.runUntil([&] { return world.placesOf("job").size() == 4; }, utils::milliseconds(1500)));
+}
+
+TEST(JobEngine, JobIsNotShownAsCompletedBeforeTheStoreHasIt)
+{
+    fleet_world world;
+    world.addWorker("w1");
+    world.submit(makeJob("job", { batchStep(2) }));
+    world.run(utils::milliseconds(50));
+    world.setStoreDown(true);
+    world.run(utils::milliseconds(2000));
+    EXPECT_EQ(world.phase("job"), job_phase::Running);
+    world.setStoreDown(false);
+    EXPECT_TRUE(world.runUntil([&] { return isCompleted(world, "job"); }, utils::milliseconds(500)));
+}
+
+TEST(JobEngine, JobFailsAfterItsLastAttempt)
+{
+    fleet_world world;
+    for (const char* id : { "w1", "w2", "w3", "w4" })
+        world.addWorker(id).faults.failsAll = true;
+    world.submit(makeJob("job", { batchStep(1) }));
+    EXPECT_TRUE(world.runUntil([&] { return world.phase("job") == job_phase::Failed; }, utils::milliseconds(20'000)));
+    EXPECT_EQ(world.startsOf({ "job", 0, 0, 0 }), 3u);
+    EXPECT_EQ(world.violations(), std::vector<std::string>());
+}
+
+TEST(JobEngine, CancelledJobStopsEverywhere)
+{
+    fleet_world world;
+    world.addWorker("w1");
+    world.addWorker("w2");
+    world.submit(makeJob("job", { servingStep(4, "image") }));
+    ASSERT_TRUE(world.runUntil([&] { return world.placesOf("job").size() == 4; }, utils::milliseconds(2000)));
+    world.cancel("job");
+    EXPECT_TRUE(world.runUntil([&] { return world.placesOf("job").empty(); }, utils::milliseconds(1500)));
+    EXPECT_EQ(world.phase("job"), job_phase::Cancelled);
+}
+
+TEST(JobEngine, PerWorkerLimitHoldsWhileServersChangePlaces)
+{
+    fleet_world world;
+    for (const char* id : { "w1", "w2", "w3" })
+        world.addWorker(id);
+    auto step = servingStep(3, "image");
+    step.perWorker = 1;
+    world.submit(makeJob("job", { step }));
+    for (int round = 0; round < 6; ++round) {
+        world.run(utils::milliseconds(1500));
+        world.restartWorker(round % 2 == 0 ? "w1" : "w2");
+    }
+    EXPECT_EQ(world.violations(), std::vector<std::string>());
+}
+
+namespace {
+
+//! The sensitive image's tail is far over its target beside the heavy one, as measured on the users' days.
+std::int64_t tailBesideHeavyWork(const fake_worker& worker, const external::run_id& run)
+{
+    const bool isSensitive = run.task.job.starts_with("sensitive");
+    const bool hasHeavy = std::ranges::any_of(worker.running, [](const auto& entry) { return entry.first.job.starts_with("heavy") && entry.second.pace > 50; });
+    return isSensitive && hasHeavy ? 900 : 40;
+}
+
+} // namespace
+
+// The load pattern of the users' quiet days: servers fill most of the capacity, one image in two suffers from the
+// work that fills. Without the arrangement every worker holds a sensitive server and the heavy work is paced to a stop.
+TEST(JobEngine, SensitiveServersShareWorkersSoThatHeavyWorkGoesOn)
+{
+    fleet_world world;
+    for (int number = 0; number < 6; ++number)
+        world.addWorker("w" + std::to_string(number)).tail = tailBesideHeavyWork;
+    world.run(utils::milliseconds(200));
+    for (int number = 0; number < 3; ++number) {
+        auto sensitive = servingStep(4, "sensitive");
+        auto robust = servingStep(4, "robust");
+        sensitive.perWorker = robust.perWorker = 0;
+        world.submit(makeJob("sensitive" + std::to_string(number), { sensitive }));
+        world.submit(makeJob("robust" + std::to_string(number), { robust }));
+    }
+    world.run(utils::milliseconds(1000));
+    int heavy = 0;
+    for (int round = 0; round < 50; ++round) {
+        world.submit(makeJob("heavy" + std::to_string(heavy++), { fillingStep(3, "heavy") }));
+        world.run(utils::milliseconds(500));
+    }
+    std::set<std::string> sensitivePlaces;
+    for (int number = 0; number < 3; ++number) {
+        const auto places = world.placesOf("sensitive" + std::to_string(number));
+        EXPECT_EQ(places.size(), 4u);
+        sensitivePlaces.insert(places.begin(), places.end());
+    }
+    EXPECT_LE(sensitivePlaces.size(), 4u);
+    EXPECT_EQ(world.violations(), std::vector<std::string>());
+    const auto last = "heavy" + std::to_string(heavy - 1);
+    EXPECT_TRUE(world.runUntil([&] { return isCompleted(world, last); }, utils::milliseconds(5000)));
+}
