Utils: Write the log from a bounded buffer; carriers by weight, stronger daemons stand first

The log goes to standard output by a thread of its own, 256 KB may wait, what is dropped is counted in a line; a reader that does not read blocks no decision (tst_log_writer).

--- a/src/libs/jobs/carrier_choice.h
+++ b/src/libs/jobs/carrier_choice.h
@@ -10,13 +10,15 @@
 struct carrier {
     std::string endpoint;
     std::string dataCentre;
+    //! Share of the orders that it can carry, against others; above 0.
+    double weight = 1;
 
     auto operator<=>(const carrier&) const = default;
 };
 
 //! \brief The carrier for a worker: one of its own data centre if there is any, the same for as long as it lives.
 //!
-//! Rendezvous hashing, so that the end of a carrier moves only its own workers. None without carriers.
+//! Weighted rendezvous hashing, so that the end of a carrier moves only its own workers. None without carriers.
 std::optional<carrier> chooseCarrier(const std::vector<carrier>& carriers, const std::string& worker, const std::string& dataCentre);
 
 } // namespace camphorsaddle::jobs
--- a/src/libs/utils/events.cpp
+++ b/src/libs/utils/events.cpp
@@ -4,7 +4,10 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
+#include "absl/time/clock.h"
+#include "absl/time/time.h"
 #include "glog/logging.h"
+#include "utils/log_writer.h"
 
 namespace camphorsaddle::utils {
 
@@ -17,6 +20,7 @@
         events::listening,
         events::processReloaded,
         events::undeclaredTransition,
+        events::logDropped,
         events::requestRefused,
         events::requestUnknown,
         events::minionsChanged,
@@ -66,6 +70,14 @@
         events::carrierLost,
     };
 
+    log_writer* s_writer = nullptr;
+
+    absl::string_view severityName(event_severity severity)
+    {
+        constexpr absl::string_view names[] { "info", "warning", "error" };
+        return names[static_cast<std::size_t>(severity)];
+    }
+
     bool needsQuotes(absl::string_view value)
     {
         return value.empty() || value.find_first_of(" \t\r\n\"=\\") != absl::string_view::npos;
@@ -91,9 +103,19 @@
     return line;
 }
 
+void setLogWriter(log_writer* writer)
+{
+    s_writer = writer;
+}
+
 void logEvent(const event& kind, std::initializer_list<event_field> fields)
 {
     const std::string line = formatEvent(kind, fields);
+    if (s_writer != nullptr) {
+        const auto now = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(), absl::UTCTimeZone());
+        s_writer->write(absl::StrCat("time=", now, " severity=", severityName(kind.severity), " ", line));
+        return;
+    }
     switch (kind.severity) {
     case event_severity::Info:
         LOG(INFO) << line;
--- a/src/libs/utils/events.h
+++ b/src/libs/utils/events.h
@@ -33,7 +33,12 @@
 //! \brief Formats one line "event=N name=... key=value ..."; values with spaces are quoted.
 std::string formatEvent(const event& kind, std::initializer_list<event_field> fields);
 
-//! \brief Writes the event through glog.
+class log_writer;
+
+//! \brief Sends the lines of events to a writer instead of glog; null ends that. Called while one thread runs.
+void setLogWriter(log_writer* writer);
+
+//! \brief Writes the event through the log writer, or through glog where there is none.
 void logEvent(const event& kind, std::initializer_list<event_field> fields = {});
 
 namespace events {
@@ -45,6 +50,7 @@
     inline constexpr event listening { 103, event_severity::Info, "listening", "A task accepts connections at the address." };
     inline constexpr event processReloaded { 104, event_severity::Info, "process_reloaded", "The settings file was announced as changed." };
     inline constexpr event undeclaredTransition { 110, event_severity::Error, "undeclared_transition", "A state chart has no transition for the event in the current state." };
+    inline constexpr event logDropped { 120, event_severity::Warning, "log_dropped", "Lines are missing here because nobody read the log in time." };
 
     // 200-299: gateway
     inline constexpr event requestRefused { 200, event_severity::Info, "request_refused", "A request was answered not-run." };
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -200,7 +200,7 @@
         return;
     case protocol::CoordinatorEnvelope::kHello:
         if (m_term != nullptr)
-            m_carriedRuns->heard({ envelope.hello().endpoint(), envelope.hello().data_centre() }, now);
+            m_carriedRuns->heard({ envelope.hello().endpoint(), envelope.hello().data_centre(), envelope.hello().weight() }, now);
         return;
     case protocol::CoordinatorEnvelope::kOrders:
         m_carrier->execute(envelope.orders());
@@ -254,6 +254,7 @@
     protocol::CoordinatorEnvelope envelope;
     envelope.mutable_hello()->set_endpoint(m_settings.peerEndpoint);
     envelope.mutable_hello()->set_data_centre(m_settings.dataCentre);
+    envelope.mutable_hello()->set_weight(m_settings.processors);
     send(m_lead->leader()->endpoint, envelope);
 }
 
--- a/src/tasks/coordinator/job_daemon_settings.h
+++ b/src/tasks/coordinator/job_daemon_settings.h
@@ -29,6 +29,8 @@
     listen_address metrics;
     //! Where other daemons send their calls.
     std::string peerEndpoint;
+    //! Cores that the daemon may use.
+    double processors = 1;
     //! Time from the request to stop until the process is killed.
     utils::milliseconds stopGrace { 6000 };
     jobs::engine_settings engine;
--- a/src/tasks/coordinator/leadership.cpp
+++ b/src/tasks/coordinator/leadership.cpp
@@ -95,8 +95,8 @@
 
 void leadership::onSynced()
 {
-    if (!m_leader && m_leaderVersion == 0)
-        seek();
+    if (!m_leader && m_leaderVersion == 0 && !m_candidacy.isActive())
+        m_candidacy.startOnce(m_settings.candidacyDelay);
 }
 
 void leadership::endLease(external::lease_id lease)
--- a/src/tasks/coordinator/leadership.h
+++ b/src/tasks/coordinator/leadership.h
@@ -20,6 +20,8 @@
     //! How long a leader goes on with what needs no entry when it can't renew; a new leader allows for it.
     utils::milliseconds reach { 5000 };
     utils::milliseconds watchWait { 8000 };
+    //! Pause before a candidacy, which leaves the lead to daemons with a shorter one.
+    utils::milliseconds candidacyDelay { 0 };
 };
 
 //! \brief Keys of the scheduler in the store.
--- a/src/tasks/job_daemon.cpp
+++ b/src/tasks/job_daemon.cpp
@@ -1,6 +1,7 @@
 #include "tasks/job_daemon.h"
 
 #include <signal.h>
+#include <unistd.h>
 
 #include <iostream>
 #include <set>
@@ -10,6 +11,7 @@
 #include "tasks/job_front/job_front_task.h"
 #include "utils/errors.h"
 #include "utils/events.h"
+#include "utils/log_writer.h"
 
 namespace camphorsaddle::tasks {
 
@@ -108,13 +110,30 @@
         m_loop.stop();
     }
 
+    //! Sends the events of a block to a writer.
+    struct log_scope {
+        explicit log_scope(utils::log_writer& writer)
+        {
+            utils::setLogWriter(&writer);
+        }
+
+        ~log_scope()
+        {
+            utils::setLogWriter(nullptr);
+        }
+
+        log_scope(const log_scope&) = delete;
+        log_scope& operator=(const log_scope&) = delete;
+    };
+
 } // namespace
 
 int runJobDaemon(const job_daemon_settings& settings, const deployment& format)
 {
-    FLAGS_logtostdout = true;
     google::InitGoogleLogging("camphorsaddle");
     signal(SIGPIPE, SIG_IGN);
+    utils::log_writer log(STDOUT_FILENO);
+    const log_scope scope(log);
     job_daemon process(settings, format);
     if (const auto status = process.open(); !status.ok()) {
         std::cerr << utils::describe(status) << "\n";
--- a/tests/auto/jobs/tst_interference.cpp
+++ b/tests/auto/jobs/tst_interference.cpp
@@ -136,8 +136,8 @@
 
 TEST(CarrierChoice, EndOfACarrierMovesOnlyItsWorkers)
 {
-    const std::vector<carrier> all { { "a", "dc1" }, { "b", "dc1" }, { "c", "dc2" } };
-    const std::vector<carrier> rest { { "a", "dc1" }, { "c", "dc2" } };
+    const std::vector<carrier> all { { "a", "dc1", 1 }, { "b", "dc1", 0.25 }, { "c", "dc2", 1 } };
+    const std::vector<carrier> rest { { "a", "dc1", 1 }, { "c", "dc2", 1 } };
     for (int number = 0; number < 50; ++number) {
         const auto worker = "w" + std::to_string(number);
         const auto before = chooseCarrier(all, worker, "dc1");
@@ -149,3 +149,12 @@
     }
     EXPECT_EQ(chooseCarrier({}, "w", "dc1"), std::nullopt);
 }
+
+TEST(CarrierChoice, WorkersAreSpreadByWeight)
+{
+    const std::vector<carrier> carriers { { "strong", "dc", 0.5 }, { "weak", "dc", 0.125 } };
+    int strong = 0;
+    for (int number = 0; number < 2000; ++number)
+        strong += chooseCarrier(carriers, "w" + std::to_string(number), "dc")->endpoint == "strong" ? 1 : 0;
+    EXPECT_NEAR(strong, 1600, 80);
+}
