Jobs: Compare a run with its running siblings

Cause: a step whose tasks are all still running had only the caller's estimate, off by up to ten times, so that a slow worker was seen after four times that. Siblings' progress tells within a report or two.

--- a/src/libs/jobs/interference.cpp
+++ b/src/libs/jobs/interference.cpp
@@ -78,8 +78,8 @@
 
 const std::vector<image_number>& interference_model::enemies(image_number serving) const
 {
-    static const std::vector<image_number> s_none;
-    return serving < m_enemies.size() ? m_enemies[serving] : s_none;
+    static const std::vector<image_number> none;
+    return serving < m_enemies.size() ? m_enemies[serving] : none;
 }
 
 std::vector<learned_pressure> interference_model::learned() const
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -130,6 +130,12 @@
     void expireLeases(utils::time_point now);
     void moveFromLeaving(utils::time_point now);
     void findStalledRuns(utils::time_point now);
+    //! \brief Why a run is to be moved to another worker, if it is.
+    std::optional<std::string> failingServer(const run_state& run, utils::time_point now) const;
+    std::optional<std::string> standingFill(run_state& run, const task_state& task, utils::time_point now);
+    std::optional<std::string> crawlingRun(const run_state& run, utils::time_point now) const;
+    //! \brief Duration of the other tasks of a run's step, as far as they tell, ms.
+    std::optional<double> siblingDuration(const run_state& run) const;
     void sampleServing(worker_state& worker, utils::time_point now);
     void paceFills(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
     void dispatch(utils::time_point now, std::vector<engine_command>& commands);
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -36,6 +36,9 @@
     constexpr int restartPercent = 30;
     // A task that lasts is at work shortly after its start.
     constexpr utils::milliseconds servingStartLimit { 2500 };
+    // Siblings and their progress that a comparison needs.
+    constexpr std::size_t leastSiblings = 2;
+    constexpr int leastProgress = 10;
     // More moves than this rather show that the task itself is long.
     constexpr std::size_t moveLimit = 3;
 
@@ -101,7 +104,6 @@
 {
     for (auto* job : m_active) {
         for (unsigned number = 0; number < job->steps.size(); ++number) {
-            const auto& spec = job->spec.steps[number];
             auto& step = job->steps[number];
             if (!step.isReady || step.doneCount == step.tasks.size())
                 continue;
@@ -109,45 +111,82 @@
                 if (task.runs.size() != 1 || task.runs.front()->phase != run_phase::Running || task.avoided.size() >= moveLimit)
                     continue;
                 auto& run = *task.runs.front();
-                const auto elapsed = millisecondsBetween(run.runningSince, now);
-                if (spec.lasts) {
-                    if (run.percent < 100 && elapsed > servingStartLimit && run.worker->answeredAt > run.runningSince + servingStartLimit) {
-                        task.avoided.push_back(run.worker->about.id);
-                        run.worker->trust.stalled(now);
-                        stopRun(run, now, "it does not serve");
-                    }
-                    continue;
-                }
-                if (spec.fills) {
-                    if (run.pace <= crawlingPace && now - run.pacedAt > crawlingTime && (spec.checkpoints || run.percent < restartPercent) && hasBetterPlace(*job, number, task, now)) {
-                        stopRun(run, now, absl::StrCat("it crawls at pace ", run.pace, ", ", run.percent, "% done"));
-                        continue;
-                    }
-                    if (run.pace > 0 && now - run.percentChangedAt > fillStandstill && run.worker->answeredAt > run.percentChangedAt + fillStandstill / 2) {
-                        task.avoided.push_back(run.worker->about.id);
-                        run.worker->trust.stalled(now);
-                        stopRun(run, now, absl::StrCat("it stands still at ", run.percent, "%"));
-                    }
-                    continue;
-                }
-                const double expected = static_cast<double>(expectedDuration(*job, number).count());
-                const double factor = step.durationCount > 0 ? stalledFactor : unknownStalledFactor;
-                const int gained = run.percent - std::max(run.firstPercent, 0);
-                const auto observedFor = static_cast<double>(millisecondsBetween(run.runningSince, run.worker->answeredAt).count());
-                // The progress was reported when the worker answered last; since then nothing is known.
-                const double rest = gained > 0 ? observedFor * (100 - run.percent) / gained - static_cast<double>(millisecondsBetween(run.worker->answeredAt, now).count()) : expected * factor + static_cast<double>(elapsed.count());
-                const bool isLate = static_cast<double>(elapsed.count()) > expected * 0.5 + static_cast<double>(stalledSlack.count());
-                if (!isLate || rest < expected * factor + static_cast<double>(stalledSlack.count()))
+                const auto& spec = job->spec.steps[number];
+                const auto why = spec.lasts ? failingServer(run, now) : spec.fills ? standingFill(run, task, now)
+                                                                                   : crawlingRun(run, now);
+                if (!why)
                     continue;
                 task.avoided.push_back(run.worker->about.id);
                 run.worker->trust.stalled(now);
-                if (!spec.speculative)
-                    stopRun(run, now, absl::StrCat("it stalls at ", run.percent, "% after ", elapsed.count(), " ms, siblings take ", static_cast<int>(expected)));
+                if (!spec.speculative || spec.lasts)
+                    stopRun(run, now, *why);
             }
         }
     }
 }
 
+std::optional<std::string> job_engine::failingServer(const run_state& run, utils::time_point now) const
+{
+    const auto since = run.runningSince + servingStartLimit;
+    if (run.percent == 100 || now < since || run.worker->answeredAt < since)
+        return std::nullopt;
+    return "it does not serve";
+}
+
+std::optional<std::string> job_engine::standingFill(run_state& run, const task_state& task, utils::time_point now)
+{
+    const auto& spec = run.job->spec.steps[run.step];
+    const bool mayMove = spec.checkpoints || run.percent < restartPercent;
+    if (run.pace <= crawlingPace && now - run.pacedAt > crawlingTime && mayMove && hasBetterPlace(*run.job, run.step, task, now)) {
+        // The worker is not to blame.
+        stopRun(run, now, absl::StrCat("it crawls at pace ", run.pace, ", ", run.percent, "% done"));
+        return std::nullopt;
+    }
+    const bool stands = run.pace > 0 && now - run.percentChangedAt > fillStandstill && run.worker->answeredAt > run.percentChangedAt + fillStandstill / 2;
+    return stands ? std::optional(absl::StrCat("it stands still at ", run.percent, "%")) : std::nullopt;
+}
+
+// Compares a run with its siblings, done or running, since estimates are off by up to ten times.
+std::optional<std::string> job_engine::crawlingRun(const run_state& run, utils::time_point now) const
+{
+    const auto& step = run.job->steps[run.step];
+    const auto siblings = siblingDuration(run);
+    const double expected = siblings.value_or(static_cast<double>(expectedDuration(*run.job, run.step).count()));
+    const double factor = siblings || step.durationCount > 0 ? stalledFactor : unknownStalledFactor;
+    const auto elapsed = millisecondsBetween(run.runningSince, now);
+    if (static_cast<double>(elapsed.count()) < expected * 0.5 + static_cast<double>(stalledSlack.count()))
+        return std::nullopt;
+    const int gained = run.percent - std::max(run.firstPercent, 0);
+    const auto observedFor = static_cast<double>(millisecondsBetween(run.runningSince, run.worker->answeredAt).count());
+    // The progress was reported when the worker answered last; since then nothing is known.
+    const double unknownFor = static_cast<double>(millisecondsBetween(run.worker->answeredAt, now).count());
+    const double rest = gained > 0 ? observedFor * (100 - run.percent) / gained - unknownFor : expected * factor + static_cast<double>(elapsed.count());
+    if (rest < expected * factor + static_cast<double>(stalledSlack.count()))
+        return std::nullopt;
+    return absl::StrCat("it stalls at ", run.percent, "% after ", elapsed.count(), " ms, siblings take ", static_cast<int>(expected));
+}
+
+std::optional<double> job_engine::siblingDuration(const run_state& run) const
+{
+    const auto& step = run.job->steps[run.step];
+    if (step.durationCount > 0)
+        return step.durationSum / step.durationCount;
+    std::vector<double> totals;
+    for (const auto& task : step.tasks) {
+        for (const auto& other : task.runs) {
+            const int gained = other->percent - std::max(other->firstPercent, 0);
+            if (other->worker == run.worker || other->phase != run_phase::Running || gained < leastProgress)
+                continue;
+            totals.push_back(static_cast<double>(millisecondsBetween(other->runningSince, other->worker->answeredAt).count()) * 100 / gained);
+        }
+    }
+    if (totals.size() < leastSiblings)
+        return std::nullopt;
+    const auto middle = totals.begin() + static_cast<std::ptrdiff_t>(totals.size() / 2);
+    std::ranges::nth_element(totals, middle);
+    return *middle;
+}
+
 std::vector<job_engine::idle_step> job_engine::idleSteps(utils::time_point now) const
 {
     std::vector<idle_step> result;
@@ -199,11 +238,12 @@
     worker_state* best = nullptr;
     double bestCost = 0;
     for (const auto& [id, worker] : m_workers) {
+        const auto* candidate = worker.get();
         if (!mayPlace(*worker, spec, job.spec.service, m_settings.withdrawalGrace, now) || !worker->isOnRoster)
             continue;
         if (spec.perWorker > 0 && runsOfStep(*worker, job, step) >= spec.perWorker)
             continue;
-        if (std::ranges::any_of(task.runs, [&](const auto& run) { return run->worker == worker.get(); }))
+        if (std::ranges::any_of(task.runs, [&](const auto& run) { return run->worker == candidate; }))
             continue;
         if (spec.fills && !fillFits(*worker, spec, image, m_interference, mode == placement_mode::Strict ? strictHeadroom : relaxedHeadroom))
             continue;
--- a/src/libs/jobs/serving_arrangement.cpp
+++ b/src/libs/jobs/serving_arrangement.cpp
@@ -13,7 +13,7 @@
 
     double closedBy(unsigned count)
     {
-        static const auto s_table = [] {
+        static const auto closed = [] {
             std::array<double, tabulated> table {};
             double open = 1;
             for (auto& entry : table) {
@@ -22,7 +22,7 @@
             }
             return table;
         }();
-        return s_table[std::min(count, tabulated - 1)];
+        return closed[std::min(count, tabulated - 1)];
     }
 
     unsigned countOf(const blocker_counts& counts, image_number image)
--- a/src/libs/utils/events.cpp
+++ b/src/libs/utils/events.cpp
@@ -70,7 +70,7 @@
         events::carrierLost,
     };
 
-    log_writer* s_writer = nullptr;
+    log_writer* currentWriter = nullptr;
 
     absl::string_view severityName(event_severity severity)
     {
@@ -105,15 +105,15 @@
 
 void setLogWriter(log_writer* writer)
 {
-    s_writer = writer;
+    currentWriter = writer;
 }
 
 void logEvent(const event& kind, std::initializer_list<event_field> fields)
 {
     const std::string line = formatEvent(kind, fields);
-    if (s_writer != nullptr) {
+    if (currentWriter != nullptr) {
         const auto now = absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(), absl::UTCTimeZone());
-        s_writer->write(absl::StrCat("time=", now, " severity=", severityName(kind.severity), " ", line));
+        currentWriter->write(absl::StrCat("time=", now, " severity=", severityName(kind.severity), " ", line));
         return;
     }
     switch (kind.severity) {
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -217,7 +217,7 @@
 void coordinator_task::onCall(const protocol::CoordinatorCall& message)
 {
     const auto call = readCall(message);
-    const auto endpoint = message.reply_endpoint();
+    const auto& endpoint = message.reply_endpoint();
     if (m_term == nullptr) {
         send(endpoint, encodeReply({ call.ticket, call_outcome::NotLeader, jobs::job_phase::Queued, 0, utils::milliseconds(0), {} }));
         return;
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -35,9 +35,7 @@
 
 leader_term::leader_term(transport::event_loop& loop, const job_daemon_settings& settings, const deployment& format, external::transactional_store& store,
     carried_runs& control, leadership& lead, std::function<void(const std::string& why)> deposed)
-    : m_loop(loop)
-    , m_settings(settings)
-    , m_format(format)
+    : m_format(format)
     , m_store(store)
     , m_control(control)
     , m_lead(lead)
@@ -330,14 +328,14 @@
     }
     const auto now = utils::suspendedTimeIncluded();
     if (const auto found = m_submissions.find(id); found != m_submissions.end()) {
-        found->second.push_back([respond](job_reply settled) { respond(settled.outcome, settled.retryAfter, settled.reason); });
+        found->second.push_back([respond](const job_reply& settled) { respond(settled.outcome, settled.retryAfter, settled.reason); });
         return;
     }
     if (m_writer.isTroubled() && !m_lead.isLeaseFresh(now)) {
         respond(call_outcome::Refused, storeOutageRetry, "store_unavailable");
         return;
     }
-    m_submissions[id].push_back([respond](job_reply settled) { respond(settled.outcome, settled.retryAfter, settled.reason); });
+    m_submissions[id].push_back([respond](const job_reply& settled) { respond(settled.outcome, settled.retryAfter, settled.reason); });
     m_writer.submit({ store_keys::job(id), jobs::encodeJob(call.job), 0, now + call.patience, true, [this, job = call.job](write_outcome outcome, external::revision, const external::key_value* present) {
                          settleSubmission(job, outcome, present);
                      } },
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -17,7 +17,7 @@
 
 namespace camphorsaddle::tasks {
 
-using reply_function = std::function<void(job_reply)>;
+using reply_function = std::function<void(const job_reply&)>;
 
 //! \brief What a daemon does while it leads: loads the jobs, drives the engine, and answers calls.
 //!
@@ -57,8 +57,6 @@
     void forgetJobs();
     void note(const jobs::engine_note& note) const;
 
-    transport::event_loop& m_loop;
-    const job_daemon_settings& m_settings;
     const deployment& m_format;
     external::transactional_store& m_store;
     carried_runs& m_control;
--- a/src/tasks/coordinator/leadership.cpp
+++ b/src/tasks/coordinator/leadership.cpp
@@ -39,8 +39,7 @@
 } // namespace
 
 leadership::leadership(transport::event_loop& loop, external::transactional_store& store, leadership_settings settings, jobs::leader_record self, change_function changed)
-    : m_loop(loop)
-    , m_store(store)
+    : m_store(store)
     , m_settings(settings)
     , m_self(std::move(self))
     , m_changed(std::move(changed))
--- a/src/tasks/coordinator/leadership.h
+++ b/src/tasks/coordinator/leadership.h
@@ -81,7 +81,6 @@
     void step(bool leads, const std::string& why);
     void endLease(external::lease_id lease);
 
-    transport::event_loop& m_loop;
     external::transactional_store& m_store;
     leadership_settings m_settings;
     jobs::leader_record m_self;
--- a/src/tasks/job_front/job_front_task.cpp
+++ b/src/tasks/job_front/job_front_task.cpp
@@ -56,7 +56,7 @@
 
 absl::Status job_front_task::open()
 {
-    auto front = listen(m_settings.front, [this](transport::http_request request, const transport::http_responder& responder) { onRequest(std::move(request), responder); });
+    auto front = listen(m_settings.front, [this](const transport::http_request& request, const transport::http_responder& responder) { onRequest(request, responder); });
     if (!front.ok())
         return front.status();
     m_front = *std::move(front);
@@ -121,7 +121,7 @@
     send(responder, status, nlohmann::json { { "error", reason } }.dump(), status == 503 ? utils::milliseconds(1000) : utils::milliseconds(0));
 }
 
-void job_front_task::onRequest(transport::http_request request, const transport::http_responder& responder)
+void job_front_task::onRequest(const transport::http_request& request, const transport::http_responder& responder)
 {
     m_lastRequest = loop().now();
     if (m_rules == nullptr) {
--- a/src/tasks/job_front/job_front_task.h
+++ b/src/tasks/job_front/job_front_task.h
@@ -27,7 +27,7 @@
     struct open_request;
 
     void onMessage(const job_front_message& message);
-    void onRequest(transport::http_request request, const transport::http_responder& responder);
+    void onRequest(const transport::http_request& request, const transport::http_responder& responder);
     void respond(const open_request& request, const job_reply& reply);
     void refuse(const transport::http_request& request, const transport::http_responder& responder, int status, const std::string& reason);
     void send(const transport::http_responder& responder, int status, std::string body, utils::milliseconds retryAfter);
--- a/tests/auto/jobs/fleet_world.cpp
+++ b/tests/auto/jobs/fleet_world.cpp
@@ -159,7 +159,8 @@
         execute(command);
     }
     storeProgress();
-    for (const auto& [id, job] : m_jobs) {
+    for (const auto& known : m_jobs) {
+        const auto& id = known.first;
         const bool hasFailed = std::ranges::any_of(m_failures, [&](const auto& entry) { return entry.first.job == id && entry.second >= 3; });
         if (m_engine->phase(id) == job_phase::Failed && !hasFailed && m_reported.insert(id).second)
             m_violations.push_back(absl::StrCat(id, " is shown as failed before its last attempt"));
@@ -206,9 +207,10 @@
     }
     for (const auto& [task, cause] : ending)
         close(worker, task, cause);
-    for (const auto& [id, at] : m_cancelledAt) {
+    for (const auto& cancelled : m_cancelledAt) {
+        const auto& id = cancelled.first;
         const bool runsOn = std::ranges::any_of(worker.running, [&](const auto& entry) { return entry.first.job == id; });
-        if (runsOn && !worker.faults.isSilent && m_now > at + std::chrono::seconds(12))
+        if (runsOn && !worker.faults.isSilent && m_now > cancelled.second + std::chrono::seconds(12))
             m_violations.push_back(absl::StrCat("a task of ", id, " runs on after its cancellation"));
     }
 }
--- a/tests/auto/jobs/tst_interference.cpp
+++ b/tests/auto/jobs/tst_interference.cpp
@@ -31,15 +31,15 @@
     bool isEnemy;
 };
 
-class InterferenceModel : public testing::TestWithParam<pressure_case> {
+class pair_of_images : public testing::TestWithParam<pressure_case> {
 };
 
-INSTANTIATE_TEST_SUITE_P(Pairs, InterferenceModel,
+INSTANTIATE_TEST_SUITE_P(Pairs, pair_of_images,
     testing::Values(pressure_case { "harmless", 0.5, false }, pressure_case { "mild", 1.5, false }, pressure_case { "heavy", 8, true }),
     [](const auto& info) { return std::string(info.param.name); });
 
 // The swing of the server's own load between two samples has a standard deviation of 0.4.
-TEST_P(InterferenceModel, LearnsThePressureOfAPairThroughTheSwing)
+TEST_P(pair_of_images, LearnsThePressureOfAPairThroughTheSwing)
 {
     interference_model model;
     const auto serving = model.number("serving");
--- a/tests/auto/jobs/tst_job_engine.cpp
+++ b/tests/auto/jobs/tst_job_engine.cpp
@@ -27,11 +27,11 @@
     utils::milliseconds limit;
 };
 
-class JobEngineUnderFault : public testing::TestWithParam<fault_case> {
+class job_engine_under_fault : public testing::TestWithParam<fault_case> {
 };
 
 // Each row is a trouble of the users' deployments; jobs complete, and no promise is broken on the way.
-INSTANTIATE_TEST_SUITE_P(Faults, JobEngineUnderFault,
+INSTANTIATE_TEST_SUITE_P(Faults, job_engine_under_fault,
     testing::Values(
         fault_case { "none", [](fleet_world&) {}, [](fleet_world&) {}, utils::milliseconds(3000) },
         fault_case { "silentWorker", [](fleet_world& world) { world.worker("w1").faults.isSilent = true; }, [](fleet_world&) {}, utils::milliseconds(9000) },
@@ -47,7 +47,7 @@
         fault_case { "storeDown", [](fleet_world& world) { world.setStoreDown(true); world.run(utils::milliseconds(3000)); }, [](fleet_world& world) { world.setStoreDown(false); }, utils::milliseconds(6000) }),
     [](const auto& info) { return std::string(info.param.name); });
 
-TEST_P(JobEngineUnderFault, CompletesJobsAndKeepsPromises)
+TEST_P(job_engine_under_fault, CompletesJobsAndKeepsPromises)
 {
     fleet_world world;
     for (const char* id : { "w1", "w2", "w3", "w4" })
@@ -66,14 +66,14 @@
     EXPECT_EQ(world.violations(), std::vector<std::string>());
 }
 
-class JobEngineUnderMixedFaults : public testing::TestWithParam<std::uint64_t> {
+class job_engine_under_mixed_faults : public testing::TestWithParam<std::uint64_t> {
 };
 
-INSTANTIATE_TEST_SUITE_P(Seeds, JobEngineUnderMixedFaults, testing::Range<std::uint64_t>(1, 25));
+INSTANTIATE_TEST_SUITE_P(Seeds, job_engine_under_mixed_faults, testing::Range<std::uint64_t>(1, 25));
 
 // Random series of faults, cancellations and changes of the leader; broken by taking out the wait for silent workers
 // in endRestoration, by a lease for silent workers in observe, and by adopting runs without the look at closedRuns.
-TEST_P(JobEngineUnderMixedFaults, KeepsPromises)
+TEST_P(job_engine_under_mixed_faults, KeepsPromises)
 {
     fleet_world world(GetParam());
     std::mt19937_64 random(GetParam());
--- a/tests/auto/platform/tst_formats.cpp
+++ b/tests/auto/platform/tst_formats.cpp
@@ -27,15 +27,15 @@
     EXPECT_EQ(*worker, expected);
 }
 
-class ForeignEntry : public testing::TestWithParam<std::string> {
+class foreign_entry : public testing::TestWithParam<std::string> {
 };
 
 // Entries of other writers name no minion, and nothing breaks.
-INSTANTIATE_TEST_SUITE_P(Entries, ForeignEntry,
+INSTANTIATE_TEST_SUITE_P(Entries, foreign_entry,
     testing::Values("", "{", "[]", "7", "\xff\xfe", "{}", replaced(minionEntry, "\"ready\"", "\"sleeping\""), replaced(minionEntry, "\"ready\"", "7"),
         replaced(minionEntry, "\"10.0.0.1:80\"", "null"), replaced(minionEntry, "16000", "\"much\""), replaced(minionEntry, "[\"a\",\"r1-3\"]", "{}")));
 
-TEST_P(ForeignEntry, IsRejected)
+TEST_P(foreign_entry, IsRejected)
 {
     EXPECT_EQ(parseMinion("i-1", GetParam()).status().code(), absl::StatusCode::kInvalidArgument);
 }
@@ -46,10 +46,10 @@
     absl::StatusCode code;
 };
 
-class JobBody : public testing::TestWithParam<job_case> {
+class job_body : public testing::TestWithParam<job_case> {
 };
 
-INSTANTIATE_TEST_SUITE_P(Bodies, JobBody,
+INSTANTIATE_TEST_SUITE_P(Bodies, job_body,
     testing::Values(job_case { "plain", R"({"Spec":"x","Steps":[{"Count":4,"Cpu":500,"After":[]},{"Count":2,"After":[0],"LongRunning":true}]})", absl::StatusCode::kOk },
         job_case { "noSteps", R"({"Spec":"x"})", absl::StatusCode::kInvalidArgument },
         job_case { "noJson", "Steps", absl::StatusCode::kInvalidArgument },
@@ -58,7 +58,7 @@
         job_case { "timed", R"({"Times":3,"Steps":[{"Count":4}]})", absl::StatusCode::kUnimplemented }),
     [](const auto& info) { return std::string(info.param.name); });
 
-TEST_P(JobBody, IsDecodedOrRefused)
+TEST_P(job_body, IsDecodedOrRefused)
 {
     EXPECT_EQ(parseJobBody(GetParam().body).status().code(), GetParam().code);
 }
