--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -132,7 +132,7 @@
     void findStalledRuns(utils::time_point now);
     //! \brief Why a run is to be moved to another worker, if it is.
     std::optional<std::string> failingServer(const run_state& run, utils::time_point now) const;
-    std::optional<std::string> standingFill(run_state& run, const task_state& task, utils::time_point now);
+    std::optional<std::string> standingFill(run_state& run, task_state& task, utils::time_point now);
     std::optional<std::string> crawlingRun(const run_state& run, utils::time_point now) const;
     //! \brief Duration of the other tasks of a run's step, as far as they tell, ms.
     std::optional<double> siblingDuration(const run_state& run) const;
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -34,6 +34,7 @@
     constexpr int crawlingPace = 25;
     constexpr utils::milliseconds crawlingTime { 900 };
     constexpr int restartPercent = 30;
+    constexpr utils::milliseconds leftTime { 4000 };
     // A task that lasts is at work shortly after its start.
     constexpr utils::milliseconds servingStartLimit { 2500 };
     // Siblings and their progress that a comparison needs.
@@ -133,12 +134,14 @@
     return "it does not serve";
 }
 
-std::optional<std::string> job_engine::standingFill(run_state& run, const task_state& task, utils::time_point now)
+std::optional<std::string> job_engine::standingFill(run_state& run, task_state& task, utils::time_point now)
 {
     const auto& spec = run.job->spec.steps[run.step];
     const bool mayMove = spec.checkpoints || run.percent < restartPercent;
     if (run.pace <= crawlingPace && now - run.pacedAt > crawlingTime && mayMove && hasBetterPlace(*run.job, run.step, task, now)) {
-        // The worker is not to blame.
+        // The worker is not to blame, but its neighbours are as they were.
+        task.left = run.worker;
+        task.leftUntil = now + leftTime;
         stopRun(run, now, absl::StrCat("it crawls at pace ", run.pace, ", ", run.percent, "% done"));
         return std::nullopt;
     }
@@ -239,6 +242,8 @@
     double bestCost = 0;
     for (const auto& [id, worker] : m_workers) {
         const auto* candidate = worker.get();
+        if (candidate == task.left && now < task.leftUntil)
+            continue;
         if (!mayPlace(*worker, spec, job.spec.service, m_settings.withdrawalGrace, now) || !worker->isOnRoster)
             continue;
         if (spec.perWorker > 0 && runsOfStep(*worker, job, step) >= spec.perWorker)
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -71,6 +71,9 @@
     utils::time_point notBefore;
     //! Since when it could run and does not.
     utils::time_point waitingSince;
+    //! Worker that it left because it could not go on there, and does not return to for a while.
+    const worker_state* left = nullptr;
+    utils::time_point leftUntil;
     //! Worker with room that is kept for it, while it moves there.
     worker_state* heldOn = nullptr;
     utils::time_point heldUntil;
