Coordinator: Take up a mark that is written again; do not wait long for workers that left

A worker without an entry is taken as gone; what it may still run ends with its lease. Test: WorkersThatLeftAreNotWaitedForLongerThanTheirLease. Ruled out for both: the workers' leases and the hand-over of the roster.

--- a/src/libs/jobs/engine_settings.h
+++ b/src/libs/jobs/engine_settings.h
@@ -28,6 +28,8 @@
     utils::milliseconds keepFinished { 150'000 };
     //! How long a former leader may have renewed leases after its own right ended.
     utils::milliseconds formerLeaderReach { 7000 };
+    //! Added to the lease of a worker that a new leader does not find in the directory.
+    utils::milliseconds missingSlack { 300 };
     //! Numbers of runs that one term of a leader may use for a task.
     std::uint64_t runsPerTerm = 1000;
 
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -109,6 +109,7 @@
 void job_engine::beginTerm(const worker_roster& roster, utils::time_point now)
 {
     rosterStored(roster.workers);
+    m_begunAt = now;
     const auto leaseTime = m_settings.surelyOver(m_settings.lease);
     const bool hasEndedInOrder = roster.endedTerm != 0 && roster.endedTerm + 1 == m_term;
     for (const auto& worker : roster.workers) {
@@ -136,10 +137,22 @@
     return result;
 }
 
+bool job_engine::isListed(const std::string& worker) const
+{
+    const auto found = m_workers.find(worker);
+    return found != m_workers.end() && found->second->isAnnounced;
+}
+
+// A worker without an entry in the directory is taken as gone; what it still runs ends with its lease.
+utils::milliseconds job_engine::missingWait() const
+{
+    return m_settings.surelyOver(m_settings.lease) + m_settings.missingSlack;
+}
+
 // Ends when no worker can hold a run that this leader does not know of.
 void job_engine::endRestoration(utils::time_point now)
 {
-    const bool isWaiting = std::ranges::any_of(m_unheard, [&](const auto& entry) { return now < entry.second; });
+    const bool isWaiting = std::ranges::any_of(m_unheard, [&](const auto& entry) { return now < entry.second && (isListed(entry.first) || now < m_begunAt + missingWait()); });
     if (!m_isRestoring || isWaiting)
         return;
     m_isRestoring = false;
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -164,6 +164,8 @@
     void orderStops(utils::time_point now, std::vector<engine_command>& commands);
     void observe(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
     void endRestoration(utils::time_point now);
+    bool isListed(const std::string& worker) const;
+    utils::milliseconds missingWait() const;
     utils::milliseconds expectedDuration(const job_state& job, unsigned step) const;
     utils::time_point objectiveOf(const job_state& job) const;
     utils::time_point cachedObjective(job_state& job, utils::time_point now) const;
@@ -180,6 +182,7 @@
     std::vector<std::string> m_storedRoster;
     //! Workers that may hold runs of a former leader and have not answered this one, and until when.
     std::map<std::string, utils::time_point> m_unheard;
+    utils::time_point m_begunAt;
     bool m_isRestoring = false;
     bool m_isDeposed = false;
     interference_model m_interference;
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -149,15 +149,17 @@
 // The mark is erased under the leader's right before the job is adopted: a former leader can't adopt it any more.
 void leader_term::adopt(const std::string& id, external::revision markVersion)
 {
-    if (!m_adopting.insert(id).second)
+    if (!m_adopting.begin(id, markVersion))
         return;
     const auto deadline = utils::suspendedTimeIncluded() + ownWriteTime;
-    m_writer.submit({ store_keys::inbox + id, std::nullopt, markVersion, deadline, false, [this, id](write_outcome outcome, external::revision, const external::key_value*) {
-                         m_adopting.erase(id);
+    m_writer.submit({ store_keys::inbox + id, std::nullopt, markVersion, deadline, false, [this, id, markVersion](write_outcome outcome, external::revision, const external::key_value* present) {
+                         const auto next = m_adopting.finish(id, markVersion, present == nullptr ? 0 : present->version);
                          if (outcome == write_outcome::Deposed) {
                              m_deposed("its key is gone");
                              return;
                          }
+                         if (next)
+                             adopt(id, *next);
                          if (outcome != write_outcome::Committed)
                              return;
                          m_store.list(store_keys::jobPrefix(id), "", 0, [this, id, self = weak_from_this()](absl::StatusOr<external::key_listing> listing) {
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -10,6 +10,7 @@
 #include "jobs/job_engine.h"
 #include "tasks/coordinator/carried_runs.h"
 #include "tasks/coordinator/coordinator_messages.h"
+#include "tasks/coordinator/inbox_marks.h"
 #include "tasks/coordinator/job_daemon_settings.h"
 #include "tasks/coordinator/leader_writer.h"
 #include "tasks/coordinator/leadership.h"
@@ -87,7 +88,7 @@
     bool m_isStoringRoster = false;
     external::revision m_learnedVersion = 0;
     bool m_isStoringLearned = false;
-    std::set<std::string> m_adopting;
+    inbox_marks m_adopting;
 };
 
 } // namespace camphorsaddle::tasks
--- a/tests/auto/jobs/fleet_world.h
+++ b/tests/auto/jobs/fleet_world.h
@@ -66,6 +66,8 @@
     fake_worker& addWorker(const std::string& id, model::resources capacity = { 32'000, 128'000, 0 });
     //! \brief The worker's process dies and starts again under its id.
     void restartWorker(const std::string& id);
+    //! \brief The worker and its entry in the directory go for good.
+    void removeWorker(const std::string& id);
     void submit(const job_spec& job);
     void cancel(const std::string& id);
     void setRules(deployment_rules rules);
@@ -142,6 +144,7 @@
     //! Tasks whose end "done" was acknowledged.
     std::set<external::task_id> m_noted;
     std::map<external::task_id, unsigned> m_failures;
+    std::set<std::string> m_departed;
     std::set<std::string> m_reported;
     std::vector<std::string> m_violations;
     std::size_t m_commandCount = 0;
--- a/tests/auto/jobs/tst_job_engine.cpp
+++ b/tests/auto/jobs/tst_job_engine.cpp
@@ -211,6 +211,21 @@
     EXPECT_EQ(world.violations(), std::vector<std::string>());
 }
 
+// Found on lsct-confirm mix --seed 722942365668 (LOST, 13 tasks): workers had left, then the leader was killed, and the
+// next one waited 12 s for them.
+TEST(JobEngine, WorkersThatLeftAreNotWaitedForLongerThanTheirLease)
+{
+    fleet_world world;
+    for (const char* id : { "w1", "w2", "w3" })
+        world.addWorker(id);
+    world.submit(makeJob("job", { servingStep(6, "image") }));
+    ASSERT_TRUE(world.runUntil([&] { return world.placesOf("job").size() == 6; }, utils::milliseconds(2000)));
+    world.removeWorker("w1");
+    world.changeLeader();
+    EXPECT_TRUE(world.runUntil([&] { return world.placesOf("job").size() == 6; }, utils::milliseconds(6000)));
+    EXPECT_EQ(world.violations(), std::vector<std::string>());
+}
+
 TEST(JobEngine, CancelledJobStopsEverywhere)
 {
     fleet_world world;
