--- a/src/libs/jobs/job_engine_arrangement.cpp
+++ b/src/libs/jobs/job_engine_arrangement.cpp
@@ -84,7 +84,7 @@
         return m_arrangement.gainOfRemoving(run->worker->blockers, m_interference.enemies(run->image));
     });
     if (!movable.empty())
-        std::ranges::rotate(movable, movable.begin() + static_cast<std::ptrdiff_t>(m_arrangementRound % movable.size()));
+        std::rotate(movable.begin(), movable.begin() + static_cast<std::ptrdiff_t>(m_arrangementRound % movable.size()), movable.end());
     bool hasMoved = false;
     for (unsigned searches = 0; searches < std::min<std::size_t>(searchLimit, movable.size()) && moving < limit; ++searches) {
         auto* run = movable[searches];
