--- a/tests/auto/jobs/tst_job_engine.cpp
+++ b/tests/auto/jobs/tst_job_engine.cpp
@@ -71,8 +71,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, job_engine_under_mixed_faults, testing::Range<std::uint64_t>(1, 25));
 
-// Random series of faults, cancellations and changes of the leader; broken by taking out the wait for silent workers
-// in endRestoration, by a lease for silent workers in observe, and by adopting runs without the look at closedRuns.
+// Random series of faults, cancellations and changes of the leader. Meant to break without the wait for silent workers
+// in endRestoration, with a lease for silent workers in observe, and without the look at closedRuns (not run).
 TEST_P(job_engine_under_mixed_faults, KeepsPromises)
 {
     fleet_world world(GetParam());
