--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "utils/errors.h"
 
@@ -35,20 +34,4 @@
     return absl::OkStatus();
 }
 
-const queue_rules* deployment_rules::findQueue(const std::string& name) const
-{
-    const auto found = std::ranges::find(queues, name, &queue_rules::name);
-    return found == queues.end() ? nullptr : &*found;
-}
-
-const queue_rules* matchQueue(const deployment_rules& rules, const std::string& host, const std::string& path)
-{
-    const queue_rules* best = nullptr;
-    for (const auto& queue : rules.queues) {
-        if (queue.host == host && absl::StartsWith(path, queue.prefix) && (best == nullptr || queue.prefix.size() > best->prefix.size()))
-            best = &queue;
-    }
-    return best;
-}
-
 } // namespace camphorsaddle::jobs
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -87,13 +87,8 @@
     std::size_t bodyLimit = 1 << 18;
 
     auto operator<=>(const deployment_rules&) const = default;
-
-    const queue_rules* findQueue(const std::string& name) const;
 };
 
-//! \brief Queue with the request's host and the longest prefix that \a path begins with, or null.
-const queue_rules* matchQueue(const deployment_rules& rules, const std::string& host, const std::string& path);
-
 enum class job_phase {
     //! No task has started.
     Queued,
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -18,7 +18,7 @@
 
 void job_engine::setRules(std::shared_ptr<const deployment_rules> rules)
 {
-    m_rules = std::move(rules);
+    m_rules = rules_index(std::move(rules));
 }
 
 void job_engine::announce(const worker_description& worker, utils::time_point now)
@@ -224,7 +224,7 @@
 
 const queue_rules* job_engine::rulesOf(const job_state& job) const
 {
-    return m_rules->findQueue(job.spec.queue);
+    return m_rules.find(job.spec.queue);
 }
 
 unsigned job_engine::attemptsOf(const job_state& job) const
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -15,6 +15,7 @@
 #include "jobs/job_record.h"
 #include "jobs/job_state.h"
 #include "jobs/placement.h"
+#include "jobs/rules_index.h"
 #include "jobs/serving_arrangement.h"
 
 namespace camphorsaddle::jobs {
@@ -173,7 +174,7 @@
     engine_settings m_settings;
     std::uint64_t m_term;
     note_function m_note;
-    std::shared_ptr<const deployment_rules> m_rules;
+    rules_index m_rules;
     std::unordered_map<std::string, std::unique_ptr<job_state>> m_jobs;
     std::map<std::string, std::unique_ptr<worker_state>> m_workers;
     //! Jobs that have not ended, in order of acceptance.
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -13,10 +13,6 @@
     constexpr utils::milliseconds tickInterval { 50 };
     // A leader answers within a few milliseconds and a round trip of up to 25; its store within a second even when slow.
     constexpr utils::milliseconds leaderPatience { 700 };
-    // Operators' changes have to be in force within seconds; a silent watch is noticed within this time and a second.
-    constexpr utils::milliseconds rulesWatchWait { 4000 };
-    // The watch may hear nothing for seconds; a change has to be in force within two and a half.
-    constexpr utils::milliseconds rulesRefresh { 1000 };
     constexpr utils::milliseconds helloInterval { 500 };
 
 } // namespace
@@ -30,9 +26,7 @@
     : m_context(context)
     , m_settings(std::move(settings))
     , m_format(format)
-    , m_rules(nullptr)
     , m_tick(loop(), [this] { onTick(); })
-    , m_refresh(loop(), [this] { m_rulesWatch->refresh(); })
 {
 }
 
@@ -57,25 +51,23 @@
         return utils::makeError(absl::StatusCode::kUnavailable, "listen", m_settings.peerEndpoint, failure.what());
     }
     m_lead = std::make_unique<leadership>(loop(), *m_store, m_settings.lead, jobs::leader_record { m_settings.daemonId, incarnation, m_settings.peerEndpoint, 0 }, [this] { onLeadChanged(); });
-    m_rulesWatch = std::make_unique<prefix_watch>(
-        loop(), *m_store, m_format.rulesKey(), rulesWatchWait, [this](const auto& key, const auto* value) { onRules(key, value); }, [] {});
+    m_rules = std::make_unique<rules_follower>(
+        loop(), *m_store, m_format, [this](const auto& rules) { onRules(rules); }, send);
     m_storeCalls = std::make_unique<store_calls>(loop(), *m_store);
     m_context.coordinator.open(loop(), [this](const coordinator_message& message) { onMessage(message); });
-    m_rulesWatch->start();
+    m_rules->start();
     m_lead->start();
     m_tick.startRepeating(tickInterval);
-    m_refresh.startRepeating(rulesRefresh);
     return absl::OkStatus();
 }
 
 void coordinator_task::close()
 {
     m_tick.stop();
-    m_refresh.stop();
     if (const auto ending = std::exchange(m_term, nullptr))
         ending->end();
     m_storeCalls.reset();
-    m_rulesWatch.reset();
+    m_rules.reset();
     m_lead.reset();
     m_carrier.reset();
     m_carriedRuns.reset();
@@ -103,22 +95,11 @@
         message);
 }
 
-void coordinator_task::onRules(const std::string& key, const external::key_value* value)
+void coordinator_task::onRules(const std::shared_ptr<const jobs::deployment_rules>& rules)
 {
-    if (key != m_format.rulesKey() || value == nullptr)
-        return;
-    auto rules = m_format.parseRules(value->value);
-    if (!rules.ok()) {
-        utils::logEvent(utils::events::configurationRejected, { { "revision", std::to_string(value->version) }, { "error", utils::describe(rules.status()) } });
-        return;
-    }
-    if (m_rules != nullptr && rules->version <= m_rules->version)
-        return;
-    m_rules = std::make_shared<const jobs::deployment_rules>(*std::move(rules));
-    utils::logEvent(utils::events::configurationApplied, { { "version", std::to_string(m_rules->version) }, { "revision", std::to_string(value->version) }, { "queues", std::to_string(m_rules->queues.size()) } });
     if (m_term != nullptr)
-        m_term->setRules(m_rules);
-    m_context.front.post(rules_changed { m_rules });
+        m_term->setRules(rules);
+    m_context.front.post(rules_changed { rules });
 }
 
 void coordinator_task::onLeadChanged()
@@ -126,6 +107,7 @@
     if (const auto ending = std::exchange(m_term, nullptr))
         ending->end();
     m_carriedRuns->clear();
+    m_rules->setLeads(m_lead->isLeader());
     m_saidHelloAt = {};
     if (!m_lead->isLeader())
         return;
@@ -134,8 +116,8 @@
         const auto ending = m_term;
         m_lead->deposed(why);
     });
-    if (m_rules != nullptr)
-        m_term->setRules(m_rules);
+    if (m_rules->rules() != nullptr)
+        m_term->setRules(m_rules->rules());
     m_term->begin();
 }
 
@@ -202,8 +184,10 @@
         onReply(envelope.reply());
         return;
     case protocol::CoordinatorEnvelope::kHello:
-        if (m_term != nullptr)
+        if (m_term != nullptr) {
             m_carriedRuns->heard({ envelope.hello().endpoint(), envelope.hello().data_centre(), envelope.hello().weight() }, now);
+            m_rules->answerHello(envelope.hello(), now);
+        }
         return;
     case protocol::CoordinatorEnvelope::kOrders:
         m_carrier->execute(envelope.orders());
@@ -211,6 +195,10 @@
     case protocol::CoordinatorEnvelope::kRunReplies:
         m_carriedRuns->take(envelope.run_replies(), now);
         return;
+    case protocol::CoordinatorEnvelope::kRules:
+        if (m_term == nullptr)
+            m_rules->takeUpdate(envelope.rules());
+        return;
     case protocol::CoordinatorEnvelope::CONTENT_NOT_SET:
         utils::logEvent(utils::events::peerMessageDropped, { { "reason", "unknown content" } });
         return;
@@ -258,6 +246,7 @@
     envelope.mutable_hello()->set_endpoint(m_settings.peerEndpoint);
     envelope.mutable_hello()->set_data_centre(m_settings.dataCentre);
     envelope.mutable_hello()->set_weight(m_settings.processors);
+    m_rules->fillHello(*envelope.mutable_hello(), now);
     send(m_lead->leader()->endpoint, envelope);
 }
 
@@ -265,6 +254,7 @@
 {
     const auto now = utils::suspendedTimeIncluded();
     sayHello(now);
+    m_rules->tick(now);
     m_carriedRuns->expire(now);
     std::vector<job_call> unanswered;
     for (const auto& [ticket, remote] : m_remote) {
@@ -277,7 +267,7 @@
         call.patience -= std::min(leaderPatience, call.patience / 2);
         askStore(call, true);
     }
-    const bool canServe = m_rules != nullptr && !m_isStopping && (m_lead->isStoreReached() || m_lead->leader() || m_term != nullptr);
+    const bool canServe = m_rules->rules() != nullptr && !m_isStopping && (m_lead->isStoreReached() || m_lead->leader() || m_term != nullptr);
     if (canServe != m_canServe) {
         m_canServe = canServe;
         m_context.front.post(service_state { canServe });
--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -9,6 +9,7 @@
 #include "tasks/coordinator/coordinator_messages.h"
 #include "tasks/coordinator/job_daemon_settings.h"
 #include "tasks/coordinator/leader_term.h"
+#include "tasks/coordinator/rules_follower.h"
 #include "tasks/coordinator/store_calls.h"
 #include "tasks/loop_task.h"
 #include "transport/mailbox.h"
@@ -33,7 +34,7 @@
     void onMessage(const coordinator_message& message);
     void onPeer(zmq::message_t raw);
     void onLeadChanged();
-    void onRules(const std::string& key, const external::key_value* value);
+    void onRules(const std::shared_ptr<const jobs::deployment_rules>& rules);
     void settle(const job_call& call);
     void forward(const job_call& call);
     //! \a mayBeStored tells that the leader may have stored or may still store it.
@@ -54,14 +55,12 @@
     std::unique_ptr<carried_runs> m_carriedRuns;
     std::unique_ptr<order_carrier> m_carrier;
     std::unique_ptr<leadership> m_lead;
-    std::unique_ptr<prefix_watch> m_rulesWatch;
+    std::unique_ptr<rules_follower> m_rules;
     std::unique_ptr<store_calls> m_storeCalls;
     std::unique_ptr<transport::message_receiver> m_peers;
     std::map<std::string, std::unique_ptr<transport::message_sender>> m_senders;
     std::shared_ptr<leader_term> m_term;
-    std::shared_ptr<const jobs::deployment_rules> m_rules;
     transport::timer m_tick;
-    transport::timer m_refresh;
     std::map<std::uint64_t, remote_call> m_remote;
     std::uint64_t m_nextTicket = 1;
     utils::time_point m_saidHelloAt;
--- a/src/tasks/coordinator/prefix_watch.cpp
+++ b/src/tasks/coordinator/prefix_watch.cpp
@@ -12,6 +12,8 @@
     // The store counts refused calls too; the longest pause bounds how late the end of an outage is seen.
     constexpr utils::milliseconds firstRetry { 100 };
     constexpr utils::milliseconds longestRetry { 500 };
+    // The store answers a watch that waits the least with what there is.
+    constexpr utils::milliseconds refreshWait { 1 };
 
 } // namespace
 
@@ -44,16 +46,56 @@
         return;
     m_isRefreshing = true;
     const auto generation = m_generation;
-    m_store.list(m_prefix, "", 0, [this, generation, alive = std::weak_ptr(m_alive)](absl::StatusOr<external::key_listing> listing) {
+    const auto askedAt = utils::suspendedTimeIncluded();
+    m_store.watch(m_prefix, m_at, refreshWait, [this, generation, askedAt, alive = std::weak_ptr(m_alive)](absl::StatusOr<external::watch_result> result) {
         if (alive.expired())
             return;
         m_isRefreshing = false;
-        // A failure shows at the watch as well, which lists again.
-        if (generation == m_generation && listing.ok() && listing->at >= m_at)
-            take(*listing);
+        if (generation != m_generation)
+            return;
+        if (!result.ok()) {
+            utils::logEvent(utils::events::watchInterrupted, { { "prefix", m_prefix }, { "error", utils::describe(result.status()) } });
+            // The value may be many changes ahead by now, of which a listing brings only the last.
+            list();
+            return;
+        }
+        if (!takeAll(*result))
+            return;
+        m_confirmedAt = askedAt;
+        m_synced();
     });
 }
 
+void prefix_watch::setWaiting(bool waits)
+{
+    m_isWaiting = waits;
+    if (waits && m_isSynced && !m_isListing && !m_isWatching)
+        watch();
+}
+
+void prefix_watch::assume(const std::string& key, external::revision version, external::revision at)
+{
+    auto& value = m_values[key];
+    value.key = key;
+    value.version = std::max(value.version, version);
+    m_at = std::max(m_at, at);
+}
+
+bool prefix_watch::isAsking() const
+{
+    return m_isListing || m_isRefreshing;
+}
+
+utils::time_point prefix_watch::confirmedAt() const
+{
+    return m_confirmedAt;
+}
+
+external::revision prefix_watch::at() const
+{
+    return m_at;
+}
+
 bool prefix_watch::isSynced() const
 {
     return m_isSynced;
@@ -63,8 +105,10 @@
 {
     m_retry.stop();
     m_isListing = true;
+    m_isWatching = false;
     const auto generation = ++m_generation;
-    m_store.list(m_prefix, "", 0, [this, generation, alive = std::weak_ptr(m_alive)](absl::StatusOr<external::key_listing> listing) {
+    const auto askedAt = utils::suspendedTimeIncluded();
+    m_store.list(m_prefix, "", 0, [this, generation, askedAt, alive = std::weak_ptr(m_alive)](absl::StatusOr<external::key_listing> listing) {
         if (alive.expired() || generation != m_generation)
             return;
         m_isListing = false;
@@ -74,8 +118,9 @@
             return;
         }
         m_failures = 0;
+        m_confirmedAt = askedAt;
         take(*listing);
-        if (!alive.expired() && generation == m_generation)
+        if (!alive.expired() && generation == m_generation && m_isWaiting)
             watch();
     });
 }
@@ -127,26 +172,43 @@
     m_changed(change.key, &value);
 }
 
+bool prefix_watch::takeAll(const external::watch_result& result)
+{
+    const auto generation = m_generation;
+    const auto alive = std::weak_ptr(m_alive);
+    m_at = std::max(m_at, result.at);
+    // Of several changes of a key only the last counts.
+    std::map<std::string, const external::key_change*> last;
+    for (const auto& change : result.changes)
+        last[change.key] = &change;
+    for (const auto& [key, change] : last) {
+        take(*change);
+        if (alive.expired() || generation != m_generation)
+            return false;
+    }
+    return true;
+}
+
 void prefix_watch::watch()
 {
+    m_isWatching = true;
     const auto generation = m_generation;
     m_store.watch(m_prefix, m_at, m_wait, [this, generation, alive = std::weak_ptr(m_alive)](absl::StatusOr<external::watch_result> result) {
         if (alive.expired() || generation != m_generation)
             return;
+        m_isWatching = false;
+        if (!m_isWaiting)
+            return;
         if (!result.ok()) {
             utils::logEvent(utils::events::watchInterrupted, { { "prefix", m_prefix }, { "error", utils::describe(result.status()) } });
             // Dropped history and silence both leave a gap that only a listing closes.
             list();
             return;
         }
-        m_at = std::max(m_at, result->at);
-        for (const auto& change : result->changes) {
-            take(change);
-            if (alive.expired() || generation != m_generation)
-                return;
-        }
+        if (!takeAll(*result))
+            return;
         m_synced();
-        if (!alive.expired() && generation == m_generation)
+        if (!alive.expired() && generation == m_generation && !m_isWatching)
             watch();
     });
 }
--- a/src/tasks/coordinator/prefix_watch.h
+++ b/src/tasks/coordinator/prefix_watch.h
@@ -28,9 +28,18 @@
     void start();
     //! \brief Lists soon, whatever the watch says.
     void relist();
-    //! \brief Lists beside the watch, which may hear nothing for seconds although the store answers.
+    //! \brief Asks for changes beside the waiting watch, which may hear nothing for seconds although the store answers.
     void refresh();
+    //! \brief Whether a call waits at the store for changes all the time; otherwise they come by refresh() only.
+    void setWaiting(bool waits);
+    //! \brief Another daemon has told that \a key has \a version, and that nothing newer was there at \a at.
+    void assume(const std::string& key, external::revision version, external::revision at);
     bool isSynced() const;
+    bool isAsking() const;
+    //! \brief Nothing changed up to this moment but what was told. Before the first answer the epoch of the clock.
+    utils::time_point confirmedAt() const;
+    //! \brief Revision of the store up to which changes were told.
+    external::revision at() const;
 
     const std::map<std::string, external::key_value>& values() const
     {
@@ -42,6 +51,8 @@
     void watch();
     void take(const external::key_listing& listing);
     void take(const external::key_change& change);
+    //! False when this object has ended or listed anew meanwhile.
+    bool takeAll(const external::watch_result& result);
     void retryLater();
 
     external::key_value_store& m_store;
@@ -52,6 +63,9 @@
     transport::timer m_retry;
     std::map<std::string, external::key_value> m_values;
     external::revision m_at = 0;
+    utils::time_point m_confirmedAt;
+    bool m_isWaiting = true;
+    bool m_isWatching = false;
     bool m_isSynced = false;
     bool m_isListing = false;
     bool m_isRefreshing = false;
--- /dev/null
+++ b/src/tasks/coordinator/rules_codec.cpp
@@ -0,0 +1,38 @@
+#include "tasks/coordinator/rules_codec.h"
+
+namespace camphorsaddle::tasks {
+
+void writeRulesChange(const jobs::rules_change& change, protocol::RulesUpdate& target)
+{
+    target.set_from_revision(change.from);
+    target.set_revision(change.to);
+    target.set_version(change.version);
+    target.set_body_limit(change.bodyLimit);
+    for (const auto& queue : change.changed) {
+        auto& message = *target.add_changed();
+        message.set_name(queue.name);
+        message.set_host(queue.host);
+        message.set_prefix(queue.prefix);
+        message.set_service(queue.service);
+        message.set_priority(queue.priority);
+        message.set_max_attempts(queue.maxAttempts);
+        message.set_slack_factor(queue.slackFactor);
+        message.set_target_latency_ms(queue.targetLatency.count());
+        message.set_timeout_ms(queue.timeout.count());
+        message.set_needs_advice(queue.needsAdvice);
+    }
+    for (const auto& name : change.removed)
+        target.add_removed(name);
+}
+
+jobs::rules_change readRulesChange(const protocol::RulesUpdate& source)
+{
+    jobs::rules_change change { source.from_revision(), source.revision(), source.version(), source.body_limit(), {}, { source.removed().begin(), source.removed().end() } };
+    for (const auto& message : source.changed()) {
+        change.changed.push_back({ message.name(), message.host(), message.prefix(), message.service(), message.priority(), message.max_attempts(), message.slack_factor(),
+            utils::milliseconds(message.target_latency_ms()), utils::milliseconds(message.timeout_ms()), message.needs_advice() });
+    }
+    return change;
+}
+
+} // namespace camphorsaddle::tasks
--- a/src/tasks/job_front/job_front_task.cpp
+++ b/src/tasks/job_front/job_front_task.cpp
@@ -61,7 +61,7 @@
         return front.status();
     m_front = *std::move(front);
     auto readiness = listen(m_settings.readiness, [this](const transport::http_request&, const transport::http_responder& responder) {
-        const bool isReady = m_canServe && m_rules != nullptr && !m_stoppingSince;
+        const bool isReady = m_canServe && m_rules && !m_stoppingSince;
         responder.respond({ isReady ? 200 : 503, {}, {} });
     });
     if (!readiness.ok())
@@ -97,7 +97,7 @@
                        respond(found->second, reply);
                        m_open.erase(found);
                    },
-                   [&](const rules_changed& change) { m_rules = change.rules; },
+                   [&](const rules_changed& change) { m_rules.emplace(change.rules); },
                    [&](const service_state& state) { m_canServe = state.canServe; },
                    [&](const stop_serving&) { beginStop(); },
                    [&](const end_loop&) { loop().stop(); },
@@ -117,18 +117,18 @@
 
 void job_front_task::refuse(const transport::http_request& request, const transport::http_responder& responder, int status, const std::string& reason)
 {
-    utils::logEvent(utils::events::requestRefused, { { "method", request.method }, { "path", request.path }, { "status", std::to_string(status) }, { "reason", reason }, { "rules", std::to_string(m_rules == nullptr ? 0 : m_rules->version) } });
+    utils::logEvent(utils::events::requestRefused, { { "method", request.method }, { "path", request.path }, { "status", std::to_string(status) }, { "reason", reason }, { "rules", std::to_string(m_rules ? m_rules->rules().version : 0) } });
     send(responder, status, nlohmann::json { { "error", reason } }.dump(), status == 503 ? utils::milliseconds(1000) : utils::milliseconds(0));
 }
 
 void job_front_task::onRequest(const transport::http_request& request, const transport::http_responder& responder)
 {
     m_lastRequest = loop().now();
-    if (m_rules == nullptr) {
+    if (!m_rules) {
         refuse(request, responder, 503, "no configuration yet");
         return;
     }
-    const auto* queue = jobs::matchQueue(*m_rules, request.header("host"), request.path);
+    const auto* queue = m_rules->match(request.header("host"), request.path);
     if (queue == nullptr) {
         refuse(request, responder, 404, "no such queue");
         return;
--- a/src/tasks/job_front/job_front_task.h
+++ b/src/tasks/job_front/job_front_task.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "jobs/rules_index.h"
 #include "tasks/coordinator/coordinator_messages.h"
 #include "tasks/coordinator/job_daemon_settings.h"
 #include "tasks/loop_task.h"
@@ -41,7 +42,7 @@
     std::unique_ptr<transport::http_server> m_front;
     std::unique_ptr<transport::http_server> m_readiness;
     std::unique_ptr<transport::http_server> m_metricsPage;
-    std::shared_ptr<const jobs::deployment_rules> m_rules;
+    std::optional<jobs::rules_index> m_rules;
     std::map<std::uint64_t, open_request> m_open;
     std::uint64_t m_nextTicket = 1;
     bool m_canServe = false;
--- a/tests/auto/platform/tst_formats.cpp
+++ b/tests/auto/platform/tst_formats.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "jobs/rules_index.h"
 #include "platform/formats.h"
 #include "platform/job_format.h"
 #include "platform/platform_settings.h"
@@ -71,9 +72,13 @@
     ASSERT_TRUE(rules.ok());
     EXPECT_EQ(rules->version, 7u);
     EXPECT_EQ(rules->bodyLimit, 9u);
-    EXPECT_EQ(jobs::matchQueue(*rules, "h", "/x/y/1")->name, "b");
-    EXPECT_EQ(jobs::matchQueue(*rules, "h", "/x/1")->name, "a");
-    EXPECT_EQ(jobs::matchQueue(*rules, "other", "/x/1"), nullptr);
+    const jobs::rules_index index(std::make_shared<jobs::deployment_rules>(*rules));
+    EXPECT_EQ(index.match("h", "/x/y/1")->name, "b");
+    EXPECT_EQ(index.match("h", "/x/1")->name, "a");
+    EXPECT_EQ(index.match("h", "/y"), nullptr);
+    EXPECT_EQ(index.match("other", "/x/1"), nullptr);
+    EXPECT_EQ(index.find("a")->maxAttempts, 3u);
+    EXPECT_EQ(index.find("c"), nullptr);
     EXPECT_FALSE(parseConfiguration("{}").ok());
 }
 
--- a/tests/auto/tasks/transacting_store.h
+++ b/tests/auto/tasks/transacting_store.h
@@ -32,6 +32,8 @@
     bool isMute = false;
     std::map<std::string, external::key_value> content;
     unsigned transactions = 0;
+    unsigned watches = 0;
+    unsigned listings = 0;
 
     void put(const std::string& key, const std::string& value)
     {
@@ -72,6 +74,7 @@
             answer([callback] { callback(absl::UnavailableError("refused")); });
             return;
         }
+        ++listings;
         external::key_listing listing { m_revision, {} };
         for (const auto& [key, value] : content) {
             if (key.starts_with(prefix))
@@ -80,8 +83,23 @@
         answer([callback, listing] { callback(listing); });
     }
 
-    void watch(const std::string& prefix, external::revision, utils::milliseconds, external::store_callback<external::watch_result> callback) override
+    //! Watches that wait a millisecond answer at once, also when those that wait hear nothing.
+    void watch(const std::string& prefix, external::revision after, utils::milliseconds wait, external::store_callback<external::watch_result> callback) override
     {
+        ++watches;
+        if (mood == store_mood::Refuses) {
+            answer([callback] { callback(absl::UnavailableError("refused")); });
+            return;
+        }
+        if (wait <= utils::milliseconds(1)) {
+            external::watch_result result { m_revision, {} };
+            for (const auto& [key, value] : content) {
+                if (key.starts_with(prefix) && value.version > after)
+                    result.changes.push_back({ key, value.version, value.value, false });
+            }
+            answer([callback, result] { callback(result); });
+            return;
+        }
         m_watches.emplace_back(prefix, std::move(callback));
     }
 
--- /dev/null
+++ b/tests/auto/tasks/tst_rules_follower.cpp
@@ -0,0 +1,206 @@
+#include <gtest/gtest.h>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "tasks/coordinator/rules_follower.h"
+#include "tasks/transacting_store.h"
+
+using namespace camphorsaddle;
+using namespace camphorsaddle::tasks;
+using namespace camphorsaddle::tasks::test;
+
+namespace {
+
+constexpr utils::milliseconds shortTime { 200 };
+constexpr utils::milliseconds unconfirmedTime { 1300 };
+
+// Rules are written down as VERSION:QUEUE,QUEUE,...
+class plain_format final : public jobs::deployment_format {
+public:
+    std::string rulesKey() const override
+    {
+        return "rules";
+    }
+
+    absl::StatusOr<jobs::deployment_rules> parseRules(const std::string& value) const override
+    {
+        const std::pair<std::string, std::string> parts = absl::StrSplit(value, absl::MaxSplits(':', 1));
+        jobs::deployment_rules rules;
+        if (!absl::SimpleAtoi(parts.first, &rules.version))
+            return absl::InvalidArgumentError(value);
+        for (const auto& name : absl::StrSplit(parts.second, ',')) {
+            jobs::queue_rules queue;
+            queue.name = std::string(name);
+            rules.queues.push_back(queue);
+        }
+        return rules;
+    }
+
+    std::string workerPrefix() const override
+    {
+        return "workers/";
+    }
+
+    absl::StatusOr<jobs::worker_description> parseWorker(const std::string&, const std::string&) const override
+    {
+        return absl::UnimplementedError("not used");
+    }
+
+    absl::StatusOr<jobs::job_spec> parseJob(const std::string&) const override
+    {
+        return absl::UnimplementedError("not used");
+    }
+
+    std::string patienceHeader() const override
+    {
+        return "patience";
+    }
+
+    std::string renderPhase(jobs::job_phase) const override
+    {
+        return {};
+    }
+
+    std::string renderPending(std::uint64_t) const override
+    {
+        return {};
+    }
+};
+
+class following_rules : public ::testing::Test {
+protected:
+    following_rules()
+    {
+        store.put("rules", "1:a,b");
+        leader.start();
+        follower.start();
+        leader.setLeads(true);
+        runLoop(loop, shortTime);
+    }
+
+    void deliver(const protocol::CoordinatorEnvelope& envelope)
+    {
+        lastUpdateBytes = envelope.ByteSizeLong();
+        if (!isCut)
+            follower.takeUpdate(envelope.rules());
+    }
+
+    void sayHello()
+    {
+        const auto now = utils::suspendedTimeIncluded();
+        protocol::CarrierHello hello;
+        hello.set_endpoint("follower");
+        follower.fillHello(hello, now);
+        leader.answerHello(hello, now);
+    }
+
+    void runFor(utils::milliseconds duration)
+    {
+        transport::timer ticks(loop, [this] {
+            if (!isLeaderGone)
+                leader.tick(utils::suspendedTimeIncluded());
+            follower.tick(utils::suspendedTimeIncluded());
+        });
+        transport::timer hellos(loop, [this] {
+            if (!isLeaderGone)
+                sayHello();
+        });
+        ticks.startRepeating(utils::milliseconds(20));
+        hellos.startRepeating(utils::milliseconds(100));
+        runLoop(loop, duration);
+    }
+
+    std::uint64_t versionOf(const rules_follower& side) const
+    {
+        return side.rules() == nullptr ? 0 : side.rules()->version;
+    }
+
+    transport::event_loop loop;
+    transacting_store store { loop };
+    plain_format format;
+    bool isCut = false;
+    bool isLeaderGone = false;
+    std::size_t lastUpdateBytes = 0;
+    rules_follower leader { loop, store, format, [](const auto&) {}, [this](const auto&, const auto& envelope) {
+                               deliver(envelope);
+                           } };
+    rules_follower follower { loop, store, format, [](const auto&) {}, [](const auto&, const auto&) {
+                             } };
+};
+
+} // namespace
+
+// Found on pregon-unido-grown trouble-3 (CONFIG, TWICE): 37 daemons read 468 KB each with every change and each second,
+// which filled the links between the regions.
+TEST_F(following_rules, ChangeComesFromTheLeaderAlone)
+{
+    sayHello();
+    std::string many = "2:";
+    for (int number = 0; number < 1000; ++number)
+        absl::StrAppend(&many, "queue", number, ",");
+    store.put("rules", many + "a,b");
+    runFor(shortTime);
+    EXPECT_EQ(versionOf(follower), 2u);
+    const auto listings = store.listings;
+    const auto watches = store.watches;
+    store.put("rules", "3:" + many.substr(2) + "a,c");
+    runFor(unconfirmedTime * 2);
+    EXPECT_EQ(versionOf(follower), 3u);
+    EXPECT_EQ(follower.rules()->queues.size(), leader.rules()->queues.size());
+    EXPECT_LT(lastUpdateBytes, 200u);
+    EXPECT_EQ(store.listings, listings);
+    // The leader's waiting watch and two refreshes a second.
+    EXPECT_LE(store.watches, watches + 8);
+}
+
+TEST_F(following_rules, StoreIsAskedWithoutALeader)
+{
+    isLeaderGone = true;
+    store.put("rules", "2:a");
+    runFor(unconfirmedTime + shortTime);
+    EXPECT_EQ(versionOf(follower), 2u);
+}
+
+TEST_F(following_rules, StoreIsAskedWhenTheLeadersWordIsOld)
+{
+    runFor(shortTime);
+    // The leader still answers, but has not heard from the store since.
+    isLeaderGone = true;
+    isCut = true;
+    store.put("rules", "2:a");
+    transport::timer answers(loop, [this] { sayHello(); });
+    answers.startRepeating(utils::milliseconds(100));
+    transport::timer ticks(loop, [this] { follower.tick(utils::suspendedTimeIncluded()); });
+    ticks.startRepeating(utils::milliseconds(20));
+    isCut = false;
+    store.isMute = true;
+    runLoop(loop, unconfirmedTime + shortTime);
+    EXPECT_EQ(versionOf(follower), 2u);
+}
+
+TEST_F(following_rules, ChangeThatGotLostComesWithTheNextAnswer)
+{
+    sayHello();
+    isCut = true;
+    store.put("rules", "2:a");
+    runFor(shortTime);
+    EXPECT_EQ(versionOf(follower), 1u);
+    isCut = false;
+    runFor(shortTime);
+    EXPECT_EQ(versionOf(follower), 2u);
+}
+
+TEST_F(following_rules, RulesNeverGoBack)
+{
+    store.put("rules", "5:a");
+    isLeaderGone = true;
+    runFor(unconfirmedTime + shortTime);
+    ASSERT_EQ(versionOf(follower), 5u);
+    protocol::RulesUpdate old;
+    old.set_from_revision(2);
+    old.set_revision(3);
+    old.set_version(2);
+    follower.takeUpdate(old);
+    EXPECT_EQ(versionOf(follower), 5u);
+}
