Jobs: Weigh the fleet once a step instead of once a task

Each task weighed all 350 workers, each of them with a sum over all images for every server on it; work that crawls looked for a better place 20 times a second.

Now the places for the tasks of a step are kept in a heap, of which a start changes one entry; what each server has left is worked out when it reports; work that crawls looks four times a second. The watch of the workers' entries pauses for 100 ms, and an entry that says nothing new is not told.

Conclusion: jobs waited for the leader's processor, not for room.

--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -269,7 +269,8 @@
     if (found == m_jobs.end())
         return;
     found->second->storedVersion = std::max(found->second->storedVersion, version);
-    acknowledgeEnds();
+    for (auto& [id, worker] : m_workers)
+        acknowledgeEnds(*worker);
 }
 
 void job_engine::progressNotStored(const std::string& job)
@@ -363,6 +364,11 @@
     return m_isDeposed;
 }
 
+std::uint64_t job_engine::placesWeighed() const
+{
+    return m_placesWeighed;
+}
+
 const std::map<std::string, std::unique_ptr<worker_state>>& job_engine::workers() const
 {
     return m_workers;
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -88,12 +88,15 @@
     std::size_t unfinishedJobs() const;
     //! \brief A worker has met a higher fencing token, so that another leader is at work.
     bool isDeposed() const;
+    //! \brief Workers that were weighed as places for tasks so far, each time counted.
+    std::uint64_t placesWeighed() const;
 
     const std::map<std::string, std::unique_ptr<worker_state>>& workers() const;
 
 private:
     struct task_place;
     struct idle_step;
+    class place_search;
 
     // jobs
     job_state& insert(const job_spec& job, utils::time_point now);
@@ -127,7 +130,8 @@
     void takeAbsence(run_state& run, utils::time_point sentAt, utils::time_point now);
     void updateClock(worker_state& worker, external::worker_time clock, utils::time_point now);
     external::worker_time grantLease(worker_state& worker, utils::time_point now);
-    void acknowledgeEnds();
+    //! Ends whose jobs the store has may be acknowledged.
+    void acknowledgeEnds(worker_state& worker);
 
     // decisions
     void expireLeases(utils::time_point now);
@@ -150,6 +154,8 @@
         Relaxed,
         Strict,
     };
+    //! Lower is better; none for a worker that may not get a task of the step.
+    std::optional<double> costOf(const worker_state& worker, const job_state& job, unsigned step, utils::time_point now, placement_mode mode) const;
     worker_state* choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now, placement_mode mode) const;
     double arrangementCost(const worker_state& worker, const step_spec& step, image_number image) const;
     void countBlockers();
@@ -195,6 +201,7 @@
     //! Tasks with a held place, by job, step and index.
     std::vector<external::task_id> m_holders;
     utils::time_point m_reviewedAt;
+    mutable std::uint64_t m_placesWeighed = 0;
     //! Something changed that may let a waiting task start.
     bool m_hasOpening = true;
     //! Mean duration of a queue's runs against their estimate.
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -20,6 +20,8 @@
     // Against the share of a worker that is taken, and against headroom and idle processors.
     constexpr double servingArrangementWeight = 4.0;
     constexpr double fillArrangementWeight = 0.5;
+    // More than any other difference between two workers.
+    constexpr double avoidedCost = 10;
     // Headroom that a task which fills has to leave to the servers beside it.
     constexpr double strictHeadroom = 1.1;
     constexpr double relaxedHeadroom = 0.7;
@@ -33,6 +35,8 @@
     // Work that is paced down so far is moved where it can go on, unless most of it would be lost.
     constexpr int crawlingPace = 25;
     constexpr utils::milliseconds crawlingTime { 900 };
+    // Reports, which make places better, are half a second apart; a search looks at the whole fleet.
+    constexpr utils::milliseconds placeInterval { 250 };
     constexpr int restartPercent = 30;
     constexpr utils::milliseconds leftTime { 4000 };
     // A task that lasts is at work shortly after its start.
@@ -138,12 +142,16 @@
 {
     const auto& spec = run.job->spec.steps[run.step];
     const bool mayMove = spec.checkpoints || run.percent < restartPercent;
-    if (run.pace <= crawlingPace && now - run.pacedAt > crawlingTime && mayMove && hasBetterPlace(*run.job, run.step, task, now)) {
-        // The worker is not to blame, but its neighbours are as they were.
-        task.left = run.worker;
-        task.leftUntil = now + leftTime;
-        stopRun(run, now, absl::StrCat("it crawls at pace ", run.pace, ", ", run.percent, "% done"));
-        return std::nullopt;
+    const bool crawls = run.pace <= crawlingPace && now - run.pacedAt > crawlingTime;
+    if (crawls && mayMove && now >= run.placeSoughtAt + placeInterval) {
+        run.placeSoughtAt = now;
+        if (hasBetterPlace(*run.job, run.step, task, now)) {
+            // The worker is not to blame, but its neighbours are as they were.
+            task.left = run.worker;
+            task.leftUntil = now + leftTime;
+            stopRun(run, now, absl::StrCat("it crawls at pace ", run.pace, ", ", run.percent, "% done"));
+            return std::nullopt;
+        }
     }
     const bool stands = run.pace > 0 && now - run.percentChangedAt > fillStandstill && run.worker->answeredAt > run.percentChangedAt + fillStandstill / 2;
     return stands ? std::optional(absl::StrCat("it stands still at ", run.percent, "%")) : std::nullopt;
@@ -234,30 +242,38 @@
     return step.fills ? -fillArrangementWeight * worker.blocked : 0;
 }
 
-worker_state* job_engine::choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now, placement_mode mode) const
+std::optional<double> job_engine::costOf(const worker_state& worker, const job_state& job, unsigned step, utils::time_point now, placement_mode mode) const
 {
+    ++m_placesWeighed;
     const auto& spec = job.spec.steps[step];
     const auto image = job.steps[step].image;
+    if (!worker.isOnRoster || !mayPlace(worker, spec, job.spec.service, m_settings.withdrawalGrace, now))
+        return std::nullopt;
+    if (spec.perWorker > 0 && runsOfStep(worker, job, step) >= spec.perWorker)
+        return std::nullopt;
+    if (spec.fills && !fillFits(worker, spec, image, m_interference, mode == placement_mode::Strict ? strictHeadroom : relaxedHeadroom))
+        return std::nullopt;
+    return placementCost(worker, spec, image, m_interference) + arrangementCost(worker, spec, image);
+}
+
+worker_state* job_engine::choose(const job_state& job, unsigned step, const task_state& task, utils::time_point now, placement_mode mode) const
+{
     worker_state* best = nullptr;
     double bestCost = 0;
     for (const auto& [id, worker] : m_workers) {
         const auto* candidate = worker.get();
         if (candidate == task.left && now < task.leftUntil)
             continue;
-        if (!mayPlace(*worker, spec, job.spec.service, m_settings.withdrawalGrace, now) || !worker->isOnRoster)
-            continue;
-        if (spec.perWorker > 0 && runsOfStep(*worker, job, step) >= spec.perWorker)
-            continue;
         if (std::ranges::any_of(task.runs, [&](const auto& run) { return run->worker == candidate; }))
             continue;
-        if (spec.fills && !fillFits(*worker, spec, image, m_interference, mode == placement_mode::Strict ? strictHeadroom : relaxedHeadroom))
+        auto cost = costOf(*worker, job, step, now, mode);
+        if (!cost)
             continue;
-        double cost = placementCost(*worker, spec, image, m_interference) + arrangementCost(*worker, spec, image);
         if (std::ranges::find(task.avoided, id) != task.avoided.end())
-            cost += 10;
-        if (best == nullptr || cost < bestCost) {
+            *cost += avoidedCost;
+        if (best == nullptr || *cost < bestCost) {
             best = worker.get();
-            bestCost = cost;
+            bestCost = *cost;
         }
     }
     return best;
@@ -299,29 +315,103 @@
 
 } // namespace
 
+//! Places for the tasks of a step, the cheapest first. A start changes the cost of its own worker only, so that the
+//! workers are looked at once a step and not once a task.
+class job_engine::place_search {
+public:
+    place_search(const job_engine& engine, const job_state& job, unsigned step, utils::time_point now)
+        : m_engine(engine)
+        , m_job(job)
+        , m_step(step)
+        , m_now(now)
+    {
+    }
+
+    worker_state* next(const task_state& task, placement_mode mode)
+    {
+        const bool isLikeOthers = task.runs.empty() && task.avoided.empty() && (task.left == nullptr || m_now >= task.leftUntil);
+        if (!isLikeOthers)
+            return m_engine.choose(m_job, m_step, task, m_now, mode);
+        if (mode != m_mode)
+            fill(mode);
+        return m_places.empty() ? nullptr : m_places.front().worker;
+    }
+
+    //! The worker got a task, which changed its cost.
+    void started(worker_state& worker)
+    {
+        if (!m_mode)
+            return;
+        if (!m_places.empty() && m_places.front().worker == &worker) {
+            std::ranges::pop_heap(m_places, isWorse);
+            m_places.pop_back();
+        } else {
+            std::erase_if(m_places, [&](const place& known) { return known.worker == &worker; });
+            std::ranges::make_heap(m_places, isWorse);
+        }
+        if (const auto cost = m_engine.costOf(worker, m_job, m_step, m_now, *m_mode)) {
+            m_places.push_back({ *cost, &worker });
+            std::ranges::push_heap(m_places, isWorse);
+        }
+    }
+
+private:
+    struct place {
+        double cost;
+        worker_state* worker;
+    };
+
+    static bool isWorse(const place& left, const place& right)
+    {
+        return std::tie(left.cost, left.worker->about.id) > std::tie(right.cost, right.worker->about.id);
+    }
+
+    void fill(placement_mode mode)
+    {
+        m_mode = mode;
+        m_places.clear();
+        for (const auto& [id, worker] : m_engine.m_workers) {
+            if (const auto cost = m_engine.costOf(*worker, m_job, m_step, m_now, mode))
+                m_places.push_back({ *cost, worker.get() });
+        }
+        std::ranges::make_heap(m_places, isWorse);
+    }
+
+    const job_engine& m_engine;
+    const job_state& m_job;
+    unsigned m_step;
+    utils::time_point m_now;
+    std::optional<placement_mode> m_mode;
+    std::vector<place> m_places;
+};
+
 void job_engine::dispatch(utils::time_point now, std::vector<engine_command>& commands)
 {
     std::vector<failed_search> failed;
     for (const auto& idle : idleSteps(now)) {
         auto& job = *idle.job;
         const auto& spec = job.spec.steps[idle.step];
+        place_search places(*this, job, idle.step, now);
         for (const unsigned index : idle.tasks) {
             auto& task = job.steps[idle.step].tasks[index];
             if (task.heldOn != nullptr) {
+                auto& held = *task.heldOn;
                 startHeld(job, idle.step, index, now, commands);
+                places.started(held);
                 continue;
             }
             const bool isPatient = !spec.fills || now < task.waitingSince + fillPatience;
             const failed_search search { &spec, job.steps[idle.step].image, &job.spec.service, isPatient };
             if (isCovered(failed, search))
                 break;
-            auto* worker = choose(job, idle.step, task, now, isPatient ? placement_mode::Strict : placement_mode::Relaxed);
+            auto* worker = places.next(task, isPatient ? placement_mode::Strict : placement_mode::Relaxed);
             if (worker == nullptr) {
                 if (spec.perWorker == 0 && task.runs.empty())
                     failed.push_back(search);
                 break;
             }
             startTask(job, idle.step, index, *worker, now, commands);
+            places.started(*worker);
         }
     }
 }
@@ -349,8 +439,10 @@
     auto& task = job.steps[step].tasks[index];
     const auto& spec = job.spec.steps[step];
     auto& run = openRun(job, step, index, worker, task.lastRun + 1, now);
-    if (spec.fills)
+    if (spec.fills) {
         addUse(worker.unreportedUse, run.image, static_cast<double>(spec.each.processors) / static_cast<double>(worker.about.capacity.processors));
+        updateRooms(worker, m_interference);
+    }
     run.checkpoint = spec.checkpoints ? task.checkpoint : std::string();
     commands.push_back(start_command { { worker.about.id, worker.about.endpoint }, { idOf(run), job.spec.payload, run.checkpoint, grantLease(worker, now), m_term } });
 }
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -88,7 +88,7 @@
         takeEnd(worker, end, now);
     if (isInOrder)
         takeReports(worker, seen.running, sentAt, now);
-    acknowledgeEnds();
+    acknowledgeEnds(worker);
 }
 
 void job_engine::takeReports(worker_state& worker, const std::vector<external::run_report>& reports, utils::time_point sentAt, utils::time_point now)
@@ -164,17 +164,15 @@
     stopRun(run, now, run.phase == run_phase::Uncertain ? "its start has not taken effect" : "its worker no longer lists it");
 }
 
-void job_engine::acknowledgeEnds()
+void job_engine::acknowledgeEnds(worker_state& worker)
 {
-    for (auto& [id, worker] : m_workers) {
-        while (!worker->unstoredEnds.empty()) {
-            const auto& end = worker->unstoredEnds.front();
-            const auto job = m_jobs.find(end.job);
-            if (end.version != 0 && job != m_jobs.end() && job->second->storedVersion < end.version)
-                break;
-            worker->acknowledgedEnd = end.number;
-            worker->unstoredEnds.pop_front();
-        }
+    while (!worker.unstoredEnds.empty()) {
+        const auto& end = worker.unstoredEnds.front();
+        const auto job = m_jobs.find(end.job);
+        if (end.version != 0 && job != m_jobs.end() && job->second->storedVersion < end.version)
+            return;
+        worker.acknowledgedEnd = end.number;
+        worker.unstoredEnds.pop_front();
     }
 }
 
--- a/src/libs/jobs/job_engine_pacing.cpp
+++ b/src/libs/jobs/job_engine_pacing.cpp
@@ -60,6 +60,7 @@
         m_interference.learn(run->image, run->serving, sample);
         run->serving = sample;
     }
+    updateRooms(worker, m_interference);
 }
 
 void job_engine::paceFills(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands)
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -42,6 +42,8 @@
         worker.servingProcessors += spec.each.processors;
     worker.charged = worker.charged + charge;
     worker.runs.push_back(run.get());
+    if (spec.lasts)
+        updateRooms(worker, m_interference);
     task.runs.push_back(std::move(run));
     return *task.runs.back();
 }
@@ -61,6 +63,8 @@
         worker.servingProcessors -= spec.each.processors;
     worker.charged = worker.charged - charge;
     std::erase(worker.runs, &run);
+    if (spec.lasts)
+        updateRooms(worker, m_interference);
     task.waitingSince = now;
     task.closedRuns.push_back(run.number);
     if (task.closedRuns.size() > closedRunLimit)
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -52,6 +52,8 @@
     bool isPaceKnown = true;
     utils::time_point pacedAt;
     bool isPacing = false;
+    //! When a better place was looked for last.
+    utils::time_point placeSoughtAt;
     //! Last sample of a task that serves.
     serving_sample serving;
     //! Last order to stop, when one is given.
@@ -119,6 +121,12 @@
     std::uint64_t version = 0;
 };
 
+//! \brief Headroom that a server on a worker has beside everything that runs there.
+struct server_room {
+    image_number image = 0;
+    double headroom = 0;
+};
+
 struct worker_state {
     worker_description about;
     bool isAnnounced = false;
@@ -142,6 +150,8 @@
     std::int64_t fillProcessors = 0;
     //! Use by tasks that fill and were started or paced up since the last report.
     fill_use unreportedUse;
+    //! One for each server with a target; kept up by updateRooms().
+    std::vector<server_room> rooms;
     //! Servers that suffer from each image that fills, and the share of the filling work that they keep away.
     blocker_counts blockers;
     double blocked = 0;
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -54,9 +54,9 @@
     return worker.about.capacity.processors - worker.charged.processors + serving - worker.fillProcessors;
 }
 
-double headroomWith(const worker_state& worker, image_number image, double added, const interference_model& interference)
+void updateRooms(worker_state& worker, const interference_model& interference)
 {
-    double least = std::numeric_limits<double>::infinity();
+    worker.rooms.clear();
     for (const auto* run : worker.runs) {
         const auto& spec = run->job->spec.steps[run->step];
         if (!spec.lasts || spec.target.count() == 0)
@@ -67,9 +67,15 @@
             headroom = swingWeight * std::min(worst, run->serving.headroom) + (1 - swingWeight) * run->serving.headroom;
         }
         // What was started since the last report does not show in it yet.
-        headroom -= interference.loss(run->image, worker.unreportedUse) + interference.pressure(run->image, image) * added;
-        least = std::min(least, headroom);
+        worker.rooms.push_back({ run->image, headroom - interference.loss(run->image, worker.unreportedUse) });
     }
+}
+
+double headroomWith(const worker_state& worker, image_number image, double added, const interference_model& interference)
+{
+    double least = std::numeric_limits<double>::infinity();
+    for (const auto& room : worker.rooms)
+        least = std::min(least, room.headroom - interference.pressure(room.image, image) * added);
     return least;
 }
 
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -20,6 +20,9 @@
 //! slow the fewest tasks that serve.
 double placementCost(const worker_state& worker, const step_spec& step, image_number image, const interference_model& interference);
 
+//! \brief Works out anew what each server on the worker has left; after a report and whenever its runs change.
+void updateRooms(worker_state& worker, const interference_model& interference);
+
 //! \brief Least headroom (target against tail) that a task which serves on the worker keeps with \a added more use.
 //!
 //! Without such a task the headroom is unlimited.
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -20,6 +20,8 @@
     constexpr utils::milliseconds housekeepingInterval { 1000 };
     // A waiting watch is one call; a silent one is noticed within this time and a second.
     constexpr utils::milliseconds watchWait { 5000 };
+    // Each worker of a fleet renews its entry every other second; changes of it are in force within 2.5 s.
+    constexpr utils::milliseconds workerGatherTime { 100 };
     // A worker that leaves gets no new tasks after two and a half seconds, also while the watch hears nothing.
     constexpr utils::milliseconds workerRefresh { 1800 };
     // What a new leader would have to learn anew; a write with others costs little.
@@ -55,6 +57,7 @@
     , m_begunAt(utils::suspendedTimeIncluded())
     , m_learning(loop, [this] { writeLearned(); })
 {
+    m_workers.setPause(workerGatherTime);
 }
 
 void leader_term::note(const jobs::engine_note& entry) const
@@ -133,6 +136,9 @@
         utils::logEvent(utils::events::workerEntryRejected, { { "key", key }, { "version", std::to_string(value->version) }, { "error", utils::describe(worker.status()) } });
         return;
     }
+    const auto known = m_engine.workers().find(id);
+    if (known != m_engine.workers().end() && known->second->isAnnounced && known->second->about == *worker)
+        return;
     utils::logEvent(utils::events::workerAnnounced, { { "worker", id }, { "version", std::to_string(value->version) }, { "life", std::to_string(worker->life) }, { "draining", worker->isDraining ? "true" : "false" } });
     m_control.setDataCentre(id, worker->dataCentre);
     m_engine.announce(*worker, now);
--- a/src/tasks/coordinator/prefix_watch.cpp
+++ b/src/tasks/coordinator/prefix_watch.cpp
@@ -24,6 +24,7 @@
     , m_changed(std::move(changed))
     , m_synced(std::move(synced))
     , m_retry(loop, [this] { list(); })
+    , m_continue(loop, [this] { setWaiting(m_isWaiting); })
 {
 }
 
@@ -73,6 +74,11 @@
         watch();
 }
 
+void prefix_watch::setPause(utils::milliseconds pause)
+{
+    m_pause = pause;
+}
+
 void prefix_watch::assume(const std::string& key, external::revision version, external::revision at)
 {
     auto& value = m_values[key];
@@ -208,7 +214,11 @@
         if (!takeAll(*result))
             return;
         m_synced();
-        if (!alive.expired() && generation == m_generation && !m_isWatching)
+        if (alive.expired() || generation != m_generation || m_isWatching)
+            return;
+        if (m_pause.count() > 0 && !result->changes.empty())
+            m_continue.startOnce(m_pause);
+        else
             watch();
     });
 }
--- a/src/tasks/coordinator/prefix_watch.h
+++ b/src/tasks/coordinator/prefix_watch.h
@@ -32,6 +32,8 @@
     void refresh();
     //! \brief Whether a call waits at the store for changes all the time; otherwise they come by refresh() only.
     void setWaiting(bool waits);
+    //! \brief Pause after each answer of the waiting watch, so that changes which come one by one arrive together.
+    void setPause(utils::milliseconds pause);
     //! \brief Another daemon has told that \a key has \a version, and that nothing newer was there at \a at.
     void assume(const std::string& key, external::revision version, external::revision at);
     bool isSynced() const;
@@ -61,6 +63,8 @@
     change_function m_changed;
     synced_function m_synced;
     transport::timer m_retry;
+    transport::timer m_continue;
+    utils::milliseconds m_pause { 0 };
     std::map<std::string, external::key_value> m_values;
     external::revision m_at = 0;
     utils::time_point m_confirmedAt;
--- a/tests/auto/jobs/fleet_world.cpp
+++ b/tests/auto/jobs/fleet_world.cpp
@@ -173,8 +173,10 @@
     storeProgress();
     for (const auto& known : m_jobs) {
         const auto& id = known.first;
+        if (m_engine->phase(id) != job_phase::Failed)
+            continue;
         const bool hasFailed = std::ranges::any_of(m_failures, [&](const auto& entry) { return entry.first.job == id && entry.second >= 3; });
-        if (m_engine->phase(id) == job_phase::Failed && !hasFailed && m_reported.insert(id).second)
+        if (!hasFailed && m_reported.insert(id).second)
             m_violations.push_back(absl::StrCat(id, " is shown as failed before its last attempt"));
     }
 }
--- a/tests/auto/jobs/tst_job_engine.cpp
+++ b/tests/auto/jobs/tst_job_engine.cpp
@@ -297,3 +297,22 @@
     const auto last = "heavy" + std::to_string(heavy - 1);
     EXPECT_TRUE(world.runUntil([&] { return isCompleted(world, last); }, utils::milliseconds(5000)));
 }
+
+// The load pattern of lsct-confirm-grown: 350 workers and 35 jobs a second, whose tasks each weighed every worker, took
+// three quarters of the leader's processor, so that first starts waited for up to 0.65 s.
+TEST(JobEngine, FleetIsWeighedOnceAStep)
+{
+    constexpr unsigned fleet = 100;
+    constexpr unsigned width = 40;
+    fleet_world world;
+    for (unsigned number = 0; number < fleet; ++number)
+        world.addWorker("w" + std::to_string(number));
+    world.run(utils::milliseconds(200));
+    const auto before = world.engine().placesWeighed();
+    world.submit(makeJob("job", { batchStep(width) }));
+    world.run(utils::milliseconds(50));
+    EXPECT_EQ(world.placesOf("job").size(), width);
+    EXPECT_LE(world.engine().placesWeighed() - before, fleet + width);
+    const auto places = world.placesOf("job");
+    EXPECT_EQ(std::set<std::string>(places.begin(), places.end()).size(), width);
+}
--- a/tests/auto/tasks/transacting_store.h
+++ b/tests/auto/tasks/transacting_store.h
@@ -91,12 +91,13 @@
             answer([callback] { callback(absl::UnavailableError("refused")); });
             return;
         }
-        if (wait <= utils::milliseconds(1)) {
-            external::watch_result result { m_revision, {} };
-            for (const auto& [key, value] : content) {
-                if (key.starts_with(prefix) && value.version > after)
-                    result.changes.push_back({ key, value.version, value.value, false });
-            }
+        external::watch_result result { m_revision, {} };
+        for (const auto& [key, value] : content) {
+            if (key.starts_with(prefix) && value.version > after)
+                result.changes.push_back({ key, value.version, value.value, false });
+        }
+        const bool waits = wait > utils::milliseconds(1);
+        if (!waits || (!isMute && !result.changes.empty())) {
             answer([callback, result] { callback(result); });
             return;
         }
--- a/tests/auto/tasks/tst_coordinator_parts.cpp
+++ b/tests/auto/tasks/tst_coordinator_parts.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "jobs/job_record.h"
 #include "tasks/coordinator/inbox_marks.h"
 #include "tasks/coordinator/leader_writer.h"
@@ -198,3 +200,26 @@
     leader.resign();
     EXPECT_FALSE(leader.isLeader());
 }
+
+// Found on lsct-confirm-grown: the entries of 350 workers, renewed every 1.5 s, cost the leader a call each.
+TEST(PrefixWatch, ChangesThatComeOneByOneArriveTogether)
+{
+    transport::event_loop loop;
+    transacting_store store(loop);
+    std::map<std::string, std::string> seen;
+    prefix_watch watch(
+        loop, store, "workers/", utils::milliseconds(5000), [&](const std::string& key, const external::key_value* value) { seen[key] = value == nullptr ? "" : value->value; }, [] {});
+    watch.setPause(utils::milliseconds(50));
+    watch.start();
+    runLoop(loop, shortTime);
+    const auto before = store.watches;
+    unsigned number = 0;
+    transport::timer changes(loop, [&] { store.put("workers/" + std::to_string(++number), "1"); });
+    changes.startRepeating(utils::milliseconds(4));
+    runLoop(loop, shortTime);
+    changes.stop();
+    watch.refresh();
+    runLoop(loop, shortTime);
+    EXPECT_EQ(seen.size(), number);
+    EXPECT_LE(store.watches, before + 8);
+}
