--- a/tests/auto/tasks/tst_rules_follower.cpp
+++ b/tests/auto/tasks/tst_rules_follower.cpp
@@ -72,18 +72,18 @@
 protected:
     following_rules()
     {
-        store.put("rules", "1:a,b");
-        leader.start();
-        follower.start();
-        leader.setLeads(true);
-        runLoop(loop, shortTime);
+        m_store.put("rules", "1:a,b");
+        m_leader.start();
+        m_follower.start();
+        m_leader.setLeads(true);
+        runLoop(m_loop, shortTime);
     }
 
     void deliver(const protocol::CoordinatorEnvelope& envelope)
     {
-        lastUpdateBytes = envelope.ByteSizeLong();
-        if (!isCut)
-            follower.takeUpdate(envelope.rules());
+        m_lastUpdateBytes = envelope.ByteSizeLong();
+        if (!m_isCut)
+            m_follower.takeUpdate(envelope.rules());
     }
 
     void sayHello()
@@ -91,24 +91,24 @@
         const auto now = utils::suspendedTimeIncluded();
         protocol::CarrierHello hello;
         hello.set_endpoint("follower");
-        follower.fillHello(hello, now);
-        leader.answerHello(hello, now);
+        m_follower.fillHello(hello, now);
+        m_leader.answerHello(hello, now);
     }
 
     void runFor(utils::milliseconds duration)
     {
-        transport::timer ticks(loop, [this] {
-            if (!isLeaderGone)
-                leader.tick(utils::suspendedTimeIncluded());
-            follower.tick(utils::suspendedTimeIncluded());
+        transport::timer ticks(m_loop, [this] {
+            if (!m_isLeaderGone)
+                m_leader.tick(utils::suspendedTimeIncluded());
+            m_follower.tick(utils::suspendedTimeIncluded());
         });
-        transport::timer hellos(loop, [this] {
-            if (!isLeaderGone)
+        transport::timer hellos(m_loop, [this] {
+            if (!m_isLeaderGone)
                 sayHello();
         });
         ticks.startRepeating(utils::milliseconds(20));
         hellos.startRepeating(utils::milliseconds(100));
-        runLoop(loop, duration);
+        runLoop(m_loop, duration);
     }
 
     std::uint64_t versionOf(const rules_follower& side) const
@@ -116,17 +116,17 @@
         return side.rules() == nullptr ? 0 : side.rules()->version;
     }
 
-    transport::event_loop loop;
-    transacting_store store { loop };
-    plain_format format;
-    bool isCut = false;
-    bool isLeaderGone = false;
-    std::size_t lastUpdateBytes = 0;
-    rules_follower leader { loop, store, format, [](const auto&) {}, [this](const auto&, const auto& envelope) {
-                               deliver(envelope);
-                           } };
-    rules_follower follower { loop, store, format, [](const auto&) {}, [](const auto&, const auto&) {
+    transport::event_loop m_loop;
+    transacting_store m_store { m_loop };
+    plain_format m_format;
+    bool m_isCut = false;
+    bool m_isLeaderGone = false;
+    std::size_t m_lastUpdateBytes = 0;
+    rules_follower m_leader { m_loop, m_store, m_format, [](const auto&) {}, [this](const auto&, const auto& envelope) {
+                                 deliver(envelope);
                              } };
+    rules_follower m_follower { m_loop, m_store, m_format, [](const auto&) {}, [](const auto&, const auto&) {
+                               } };
 };
 
 } // namespace
@@ -139,68 +139,66 @@
     std::string many = "2:";
     for (int number = 0; number < 1000; ++number)
         absl::StrAppend(&many, "queue", number, ",");
-    store.put("rules", many + "a,b");
+    m_store.put("rules", many + "a,b");
     runFor(shortTime);
-    EXPECT_EQ(versionOf(follower), 2u);
-    const auto listings = store.listings;
-    const auto watches = store.watches;
-    store.put("rules", "3:" + many.substr(2) + "a,c");
+    EXPECT_EQ(versionOf(m_follower), 2u);
+    const auto listings = m_store.listings;
+    const auto watches = m_store.watches;
+    m_store.put("rules", "3:" + many.substr(2) + "a,c");
     runFor(unconfirmedTime * 2);
-    EXPECT_EQ(versionOf(follower), 3u);
-    EXPECT_EQ(follower.rules()->queues.size(), leader.rules()->queues.size());
-    EXPECT_LT(lastUpdateBytes, 200u);
-    EXPECT_EQ(store.listings, listings);
+    EXPECT_EQ(versionOf(m_follower), 3u);
+    EXPECT_EQ(m_follower.rules()->queues.size(), m_leader.rules()->queues.size());
+    EXPECT_LT(m_lastUpdateBytes, 200u);
+    EXPECT_EQ(m_store.listings, listings);
     // The leader's waiting watch and two refreshes a second.
-    EXPECT_LE(store.watches, watches + 8);
+    EXPECT_LE(m_store.watches, watches + 8);
 }
 
 TEST_F(following_rules, StoreIsAskedWithoutALeader)
 {
-    isLeaderGone = true;
-    store.put("rules", "2:a");
+    m_isLeaderGone = true;
+    m_store.put("rules", "2:a");
     runFor(unconfirmedTime + shortTime);
-    EXPECT_EQ(versionOf(follower), 2u);
+    EXPECT_EQ(versionOf(m_follower), 2u);
 }
 
 TEST_F(following_rules, StoreIsAskedWhenTheLeadersWordIsOld)
 {
     runFor(shortTime);
-    // The leader still answers, but has not heard from the store since.
-    isLeaderGone = true;
-    isCut = true;
-    store.put("rules", "2:a");
-    transport::timer answers(loop, [this] { sayHello(); });
+    // The leader answers on, but has not heard from the store since: its watch is mute and it asks no more.
+    m_store.isMute = true;
+    m_store.put("rules", "2:a");
+    transport::timer answers(m_loop, [this] { sayHello(); });
     answers.startRepeating(utils::milliseconds(100));
-    transport::timer ticks(loop, [this] { follower.tick(utils::suspendedTimeIncluded()); });
+    transport::timer ticks(m_loop, [this] { m_follower.tick(utils::suspendedTimeIncluded()); });
     ticks.startRepeating(utils::milliseconds(20));
-    isCut = false;
-    store.isMute = true;
-    runLoop(loop, unconfirmedTime + shortTime);
-    EXPECT_EQ(versionOf(follower), 2u);
+    runLoop(m_loop, unconfirmedTime + shortTime);
+    EXPECT_EQ(versionOf(m_leader), 1u);
+    EXPECT_EQ(versionOf(m_follower), 2u);
 }
 
 TEST_F(following_rules, ChangeThatGotLostComesWithTheNextAnswer)
 {
     sayHello();
-    isCut = true;
-    store.put("rules", "2:a");
+    m_isCut = true;
+    m_store.put("rules", "2:a");
     runFor(shortTime);
-    EXPECT_EQ(versionOf(follower), 1u);
-    isCut = false;
+    EXPECT_EQ(versionOf(m_follower), 1u);
+    m_isCut = false;
     runFor(shortTime);
-    EXPECT_EQ(versionOf(follower), 2u);
+    EXPECT_EQ(versionOf(m_follower), 2u);
 }
 
 TEST_F(following_rules, RulesNeverGoBack)
 {
-    store.put("rules", "5:a");
-    isLeaderGone = true;
+    m_store.put("rules", "5:a");
+    m_isLeaderGone = true;
     runFor(unconfirmedTime + shortTime);
-    ASSERT_EQ(versionOf(follower), 5u);
+    ASSERT_EQ(versionOf(m_follower), 5u);
     protocol::RulesUpdate old;
     old.set_from_revision(2);
     old.set_revision(3);
     old.set_version(2);
-    follower.takeUpdate(old);
-    EXPECT_EQ(versionOf(follower), 5u);
+    m_follower.takeUpdate(old);
+    EXPECT_EQ(versionOf(m_follower), 5u);
 }
