--- a/src/tasks/coordinator/rules_follower.cpp
+++ b/src/tasks/coordinator/rules_follower.cpp
@@ -17,6 +17,9 @@
     // Operators' changes have to be in force within 2.5 s, of which the store may need one.
     constexpr utils::milliseconds longestUnconfirmed { 1200 };
 
+    // Daemons speak up twice a second; changes for one that is gone would pile up in its queue.
+    constexpr utils::milliseconds followerSilence { 1300 };
+
     std::int64_t microsOf(utils::time_point time)
     {
         return std::chrono::duration_cast<utils::microseconds>(time.time_since_epoch()).count();
@@ -84,8 +87,9 @@
     utils::logEvent(utils::events::configurationApplied, { { "version", std::to_string(rules->version) }, { "revision", std::to_string(m_history.revision()) }, { "queues", std::to_string(rules->queues.size()) } });
     if (m_leads) {
         const auto now = utils::suspendedTimeIncluded();
-        for (const auto& [endpoint, revision] : m_followers)
-            sendUpdate(endpoint, revision, 0, now);
+        std::erase_if(m_followers, [&](const auto& entry) { return now > entry.second.heardAt + followerSilence; });
+        for (auto& [endpoint, follower] : m_followers)
+            sendUpdate(endpoint, follower, 0, now);
     }
     m_changed(rules);
 }
@@ -94,14 +98,15 @@
 {
     if (!m_leads || m_history.rules() == nullptr)
         return;
-    sendUpdate(hello.endpoint(), hello.rules_revision(), hello.sent_us(), now);
+    auto& follower = m_followers[hello.endpoint()];
+    follower = { hello.rules_revision(), now };
+    sendUpdate(hello.endpoint(), follower, hello.sent_us(), now);
 }
 
-void rules_follower::sendUpdate(const std::string& endpoint, external::revision from, std::int64_t helloMicros, utils::time_point now)
+void rules_follower::sendUpdate(const std::string& endpoint, known_follower& follower, std::int64_t helloMicros, utils::time_point now)
 {
-    m_followers[endpoint] = from;
     // A daemon that is too far behind, or ahead, asks the store itself.
-    const auto change = m_history.since(from);
+    const auto change = m_history.since(follower.revision);
     if (!change)
         return;
     protocol::CoordinatorEnvelope envelope;
@@ -111,7 +116,7 @@
     update.set_age_ms(std::chrono::duration_cast<utils::milliseconds>(now - m_watch.confirmedAt()).count());
     update.set_hello_us(helloMicros);
     m_send(endpoint, envelope);
-    m_followers[endpoint] = change->to;
+    follower.revision = change->to;
 }
 
 void rules_follower::fillHello(protocol::CarrierHello& hello, utils::time_point now) const
--- a/src/tasks/coordinator/rules_follower.h
+++ b/src/tasks/coordinator/rules_follower.h
@@ -41,9 +41,15 @@
     void takeUpdate(const protocol::RulesUpdate& update);
 
 private:
+    struct known_follower {
+        //! What it has, as far as this leader knows.
+        external::revision revision = 0;
+        utils::time_point heardAt;
+    };
+
     void onValue(const std::string& key, const external::key_value* value);
     void announce();
-    void sendUpdate(const std::string& endpoint, external::revision from, std::int64_t helloMicros, utils::time_point now);
+    void sendUpdate(const std::string& endpoint, known_follower& follower, std::int64_t helloMicros, utils::time_point now);
 
     const jobs::deployment_format& m_format;
     change_function m_changed;
@@ -54,8 +60,7 @@
     //! What the leader confirmed.
     utils::time_point m_toldAt;
     utils::time_point m_askedAt;
-    //! Revisions that other daemons have, as far as this leader knows.
-    std::map<std::string, external::revision> m_followers;
+    std::map<std::string, known_follower> m_followers;
 };
 
 } // namespace camphorsaddle::tasks
--- a/tests/auto/tasks/tst_rules_follower.cpp
+++ b/tests/auto/tasks/tst_rules_follower.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr utils::milliseconds shortTime { 200 };
-constexpr utils::milliseconds unconfirmedTime { 1300 };
+constexpr utils::milliseconds unconfirmedTime { 1400 };
 
 // Rules are written down as VERSION:QUEUE,QUEUE,...
 class plain_format final : public jobs::deployment_format {
@@ -81,6 +81,7 @@
 
     void deliver(const protocol::CoordinatorEnvelope& envelope)
     {
+        ++m_updates;
         m_lastUpdateBytes = envelope.ByteSizeLong();
         if (!m_isCut)
             m_follower.takeUpdate(envelope.rules());
@@ -122,6 +123,7 @@
     bool m_isCut = false;
     bool m_isLeaderGone = false;
     std::size_t m_lastUpdateBytes = 0;
+    unsigned m_updates = 0;
     rules_follower m_leader { m_loop, m_store, m_format, [](const auto&) {}, [this](const auto&, const auto& envelope) {
                                  deliver(envelope);
                              } };
@@ -202,3 +204,15 @@
     m_follower.takeUpdate(old);
     EXPECT_EQ(versionOf(m_follower), 5u);
 }
+
+// Changes for a host that was replaced would pile up in the queue of its connection.
+TEST_F(following_rules, DaemonThatIsGoneIsToldNothing)
+{
+    sayHello();
+    runLoop(m_loop, unconfirmedTime);
+    const auto before = m_updates;
+    m_store.put("rules", "2:a");
+    runLoop(m_loop, shortTime);
+    EXPECT_EQ(versionOf(m_leader), 2u);
+    EXPECT_EQ(m_updates, before);
+}
