Coordinator, Tests: Findings of a second reading

- ChangeComesFromTheLeaderAlone looked at the size of the last message, which is an empty confirmation: the check could not fail.
It looks at the largest message now.
- prefix_watch took the answers of its two kinds of watch in two copies.
- The roster was put together before it was known to be wanted.
- A declaration without a definition is gone.
- Docs: what was worked out is no longer called measured.

--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -94,7 +94,6 @@
     const std::map<std::string, std::unique_ptr<worker_state>>& workers() const;
 
 private:
-    struct task_place;
     struct idle_step;
     class place_search;
 
--- a/src/libs/jobs/rules_history.h
+++ b/src/libs/jobs/rules_history.h
@@ -27,7 +27,7 @@
 
 //! \brief The rules in force and the last changes that led to them.
 //!
-//! The rules of a large deployment are a hundred times the size of a change, and changes come several times a second.
+//! Others are told the changes, since the rules of a large deployment are far larger than what an operator changes.
 class rules_history {
 public:
     //! \brief Takes rules that were read in full; false if they are no newer.
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -417,9 +417,9 @@
 
 void leader_term::writeRoster()
 {
-    const auto roster = m_engine.roster();
     if (m_hasEnded || m_isHandingOver || m_isStoringRoster || !m_engine.needsRoster())
         return;
+    const auto roster = m_engine.roster();
     m_isStoringRoster = true;
     m_writer.submit({ store_keys::roster, jobs::encodeRoster({ roster, 0, {} }), m_rosterVersion, utils::suspendedTimeIncluded() + ownWriteTime, false, [this, roster](write_outcome outcome, external::revision at, const external::key_value* present) {
                          m_isStoringRoster = false;
--- a/src/tasks/coordinator/prefix_watch.cpp
+++ b/src/tasks/coordinator/prefix_watch.cpp
@@ -52,15 +52,7 @@
         if (alive.expired())
             return;
         m_isRefreshing = false;
-        if (generation != m_generation)
-            return;
-        if (!result.ok()) {
-            utils::logEvent(utils::events::watchInterrupted, { { "prefix", m_prefix }, { "error", utils::describe(result.status()) } });
-            // The value may be many changes ahead by now, of which a listing brings only the last.
-            list();
-            return;
-        }
-        if (!takeAll(*result))
+        if (generation != m_generation || !takeAnswer(result))
             return;
         m_confirmedAt = askedAt;
         m_synced();
@@ -178,14 +170,20 @@
     m_changed(change.key, &value);
 }
 
-bool prefix_watch::takeAll(const external::watch_result& result)
+bool prefix_watch::takeAnswer(const absl::StatusOr<external::watch_result>& result)
 {
+    if (!result.ok()) {
+        utils::logEvent(utils::events::watchInterrupted, { { "prefix", m_prefix }, { "error", utils::describe(result.status()) } });
+        // Dropped history and silence both leave a gap that only a listing closes.
+        list();
+        return false;
+    }
     const auto generation = m_generation;
     const auto alive = std::weak_ptr(m_alive);
-    m_at = std::max(m_at, result.at);
+    m_at = std::max(m_at, result->at);
     // Of several changes of a key only the last counts.
     std::map<std::string, const external::key_change*> last;
-    for (const auto& change : result.changes)
+    for (const auto& change : result->changes)
         last[change.key] = &change;
     for (const auto& [key, change] : last) {
         take(*change);
@@ -203,15 +201,7 @@
         if (alive.expired() || generation != m_generation)
             return;
         m_isWatching = false;
-        if (!m_isWaiting)
-            return;
-        if (!result.ok()) {
-            utils::logEvent(utils::events::watchInterrupted, { { "prefix", m_prefix }, { "error", utils::describe(result.status()) } });
-            // Dropped history and silence both leave a gap that only a listing closes.
-            list();
-            return;
-        }
-        if (!takeAll(*result))
+        if (!m_isWaiting || !takeAnswer(result))
             return;
         m_synced();
         if (alive.expired() || generation != m_generation || m_isWatching)
--- a/src/tasks/coordinator/prefix_watch.h
+++ b/src/tasks/coordinator/prefix_watch.h
@@ -53,8 +53,9 @@
     void watch();
     void take(const external::key_listing& listing);
     void take(const external::key_change& change);
-    //! False when this object has ended or listed anew meanwhile.
-    bool takeAll(const external::watch_result& result);
+    //! Lists anew after a failure. False when what follows is not this answer's business any more: it failed, or this
+    //! object has ended or listed anew meanwhile.
+    bool takeAnswer(const absl::StatusOr<external::watch_result>& result);
     void retryLater();
 
     external::key_value_store& m_store;
--- a/src/tasks/coordinator/rules_follower.cpp
+++ b/src/tasks/coordinator/rules_follower.cpp
@@ -129,8 +129,11 @@
 {
     const auto change = readRulesChange(update);
     const bool isNew = change.to != m_history.revision();
-    if (isNew && !m_history.apply(change))
+    if (isNew && !m_history.apply(change)) {
+        // The rules have moved on since the hello; the next one says what is needed.
+        utils::logEvent(utils::events::peerMessageDropped, { { "reason", "rules change from another revision" }, { "from", std::to_string(change.from) }, { "revision", std::to_string(m_history.revision()) } });
         return;
+    }
     m_watch.assume(m_format.rulesKey(), change.to, update.store_revision());
     // The leader wrote its answer after the hello, so that its word is at most as old as the hello and what it says.
     if (update.hello_us() != 0)
--- a/tests/auto/tasks/tst_rules_follower.cpp
+++ b/tests/auto/tasks/tst_rules_follower.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -82,7 +84,7 @@
     void deliver(const protocol::CoordinatorEnvelope& envelope)
     {
         ++m_updates;
-        m_lastUpdateBytes = envelope.ByteSizeLong();
+        m_largestUpdate = std::max(m_largestUpdate, envelope.ByteSizeLong());
         if (!m_isCut)
             m_follower.takeUpdate(envelope.rules());
     }
@@ -122,7 +124,8 @@
     plain_format m_format;
     bool m_isCut = false;
     bool m_isLeaderGone = false;
-    std::size_t m_lastUpdateBytes = 0;
+    //! Bytes.
+    std::size_t m_largestUpdate = 0;
     unsigned m_updates = 0;
     rules_follower m_leader { m_loop, m_store, m_format, [](const auto&) {}, [this](const auto&, const auto& envelope) {
                                  deliver(envelope);
@@ -146,11 +149,14 @@
     EXPECT_EQ(versionOf(m_follower), 2u);
     const auto listings = m_store.listings;
     const auto watches = m_store.watches;
+    m_largestUpdate = 0;
     m_store.put("rules", "3:" + many.substr(2) + "a,c");
     runFor(unconfirmedTime * 2);
     EXPECT_EQ(versionOf(m_follower), 3u);
     EXPECT_EQ(m_follower.rules()->queues.size(), m_leader.rules()->queues.size());
-    EXPECT_LT(m_lastUpdateBytes, 200u);
+    // Two queues of a thousand.
+    EXPECT_GT(m_largestUpdate, 0u);
+    EXPECT_LT(m_largestUpdate, 200u);
     EXPECT_EQ(m_store.listings, listings);
     // The leader's waiting watch and two refreshes a second.
     EXPECT_LE(m_store.watches, watches + 8);
