--- a/src/tasks/coordinator/prefix_watch.cpp
+++ b/src/tasks/coordinator/prefix_watch.cpp
@@ -48,7 +48,7 @@
     m_isRefreshing = true;
     const auto generation = m_generation;
     const auto askedAt = utils::suspendedTimeIncluded();
-    m_store.watch(m_prefix, m_at, refreshWait, [this, generation, askedAt, alive = std::weak_ptr(m_alive)](absl::StatusOr<external::watch_result> result) {
+    m_store.watch(m_prefix, m_at, refreshWait, [this, generation, askedAt, alive = std::weak_ptr(m_alive)](const absl::StatusOr<external::watch_result>& result) {
         if (alive.expired())
             return;
         m_isRefreshing = false;
@@ -197,7 +197,7 @@
 {
     m_isWatching = true;
     const auto generation = m_generation;
-    m_store.watch(m_prefix, m_at, m_wait, [this, generation, alive = std::weak_ptr(m_alive)](absl::StatusOr<external::watch_result> result) {
+    m_store.watch(m_prefix, m_at, m_wait, [this, generation, alive = std::weak_ptr(m_alive)](const absl::StatusOr<external::watch_result>& result) {
         if (alive.expired() || generation != m_generation)
             return;
         m_isWatching = false;
