--- a/bench/capacity/cost_measurement.h
+++ b/bench/capacity/cost_measurement.h
@@ -25,6 +25,8 @@
 std::vector<cost_measurement> measureConfigurationCosts();
 //! \brief Processor time and bytes of the heartbeats to all peers in one interval.
 std::vector<cost_measurement> measureHeartbeatCosts();
+//! \brief Processor time that a leader's engine, codecs and log lines take for each second of a large deployment's load.
+std::vector<cost_measurement> measureLeaderCosts();
 //! \brief Processor time and memory of real daemons under load; empty if they do not become ready.
 std::vector<cost_measurement> measureDaemonCosts();
 
--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -9,9 +9,14 @@
     using namespace camphorsaddle::bench;
     TCLAP::CmdLine line("Prints the measured costs from which docs/CAPACITY.md is worked out.", ' ', "0.1.0");
     TCLAP::SwitchArg measuresDaemons("", "daemons", "also measure real daemons, for half a minute", line);
+    TCLAP::SwitchArg measuresLeader("", "leader", "measure only the costs of a leader on the users' platform", line);
     line.parse(argc, argv);
 
-    std::vector<std::vector<cost_measurement>> groups { measureJournalCosts(), measureTaskRecordCosts(), measureWorkerCallCosts(), measureConfigurationCosts(), measureHeartbeatCosts() };
+    std::vector<std::vector<cost_measurement>> groups;
+    if (measuresLeader.getValue())
+        groups = { measureLeaderCosts() };
+    else
+        groups = { measureJournalCosts(), measureTaskRecordCosts(), measureWorkerCallCosts(), measureConfigurationCosts(), measureHeartbeatCosts(), measureLeaderCosts() };
     if (measuresDaemons.getValue())
         groups.push_back(measureDaemonCosts());
     for (const auto& group : groups) {
