--- a/bench/capacity/leader_costs.cpp
+++ b/bench/capacity/leader_costs.cpp
@@ -99,10 +99,22 @@
             m_lines = 0;
         }
 
-        double cost(cost_kind kind) const { return m_costs[static_cast<std::size_t>(kind)]; }
-        double starts() const { return m_starts; }
-        double observations() const { return m_observations; }
-        double lines() const { return m_lines; }
+        double cost(cost_kind kind) const
+        {
+            return m_costs[static_cast<std::size_t>(kind)];
+        }
+        double starts() const
+        {
+            return m_starts;
+        }
+        double observations() const
+        {
+            return m_observations;
+        }
+        double lines() const
+        {
+            return m_lines;
+        }
 
     private:
         struct event {
@@ -110,7 +122,10 @@
             std::uint64_t number;
             std::function<void()> action;
 
-            bool operator>(const event& other) const { return std::tie(at, number) > std::tie(other.at, other.number); }
+            bool operator>(const event& other) const
+            {
+                return std::tie(at, number) > std::tie(other.at, other.number);
+            }
         };
 
         template <typename Action>
@@ -312,7 +327,9 @@
         model.resetCosts();
         model.run(measured);
         const double seconds = std::chrono::duration<double>(measured).count();
-        const auto add = [&](const std::string& name, const char* unit, double value) { measurements.push_back({ name, unit, "workers", static_cast<double>(workers), value }); };
+        const auto add = [&](const std::string& name, const char* unit, double value) {
+            measurements.push_back({ name, unit, "workers", static_cast<double>(workers), value });
+        };
         for (std::size_t kind = 0; kind < costKindCount; ++kind)
             add(costNames[kind], "us/s", model.cost(static_cast<cost_kind>(kind)) / seconds);
         add("leader starts", "1/s", model.starts() / seconds);
