--- a/src/libs/utils/events.cpp
+++ b/src/libs/utils/events.cpp
@@ -69,6 +69,9 @@
         events::peerAnswerUnreadable,
         events::carrierFound,
         events::carrierLost,
+        events::rulesUnconfirmed,
+        events::rulesConfirmed,
+        events::followerRevisionUnknown,
     };
 
     log_writer* currentWriter = nullptr;
--- a/src/libs/utils/events.h
+++ b/src/libs/utils/events.h
@@ -116,6 +116,10 @@
     inline constexpr event carrierFound { 840, event_severity::Info, "carrier_found", "A daemon relays orders of the leader to workers." };
     inline constexpr event carrierLost { 841, event_severity::Warning, "carrier_lost", "A relay stopped responding; its open orders count as unanswered." };
 
+    inline constexpr event rulesUnconfirmed { 850, event_severity::Warning, "rules_unconfirmed", "Neither the leader nor the store has confirmed this daemon's rules for some time." };
+    inline constexpr event rulesConfirmed { 851, event_severity::Info, "rules_confirmed", "The daemon's rules are confirmed again." };
+    inline constexpr event followerRevisionUnknown { 852, event_severity::Info, "follower_revision_unknown", "The leader has no changes since a daemon's revision of the rules; that daemon reads the store." };
+
 } // namespace events
 
 } // namespace camphorsaddle::utils
--- a/src/tasks/coordinator/coordinator_messages.h
+++ b/src/tasks/coordinator/coordinator_messages.h
@@ -66,9 +66,30 @@
     std::string reason;
 };
 
-//! \brief Tells the front end that a newer version of the operators' rules is in force.
-struct rules_changed {
+enum class rules_source {
+    None,
+    Store,
+    Leader,
+};
+
+inline constexpr std::size_t rulesSourceCount = 3;
+
+constexpr absl::string_view toString(rules_source source)
+{
+    constexpr absl::string_view names[rulesSourceCount] { "none", "store", "leader" };
+    return names[static_cast<std::size_t>(source)];
+}
+
+//! \brief Tells the front end which of the operators' rules this daemon has and when they were last known to be the newest.
+struct rules_state {
     std::shared_ptr<const jobs::deployment_rules> rules;
+    //! The epoch of the clock before the first confirmation.
+    utils::time_point confirmedAt;
+    rules_source confirmedBy = rules_source::None;
+    //! The last attempt to read the rules from the store has failed.
+    bool isStoreFailing = false;
+
+    bool operator==(const rules_state&) const = default;
 };
 
 //! \brief Tells the front end whether this daemon can serve callers: it has rules and reaches the store or a leader.
@@ -86,7 +107,7 @@
 struct stop_loop { };
 
 using coordinator_message = std::variant<job_call, stop_serving, stop_loop>;
-using job_front_message = std::variant<job_reply, rules_changed, serving_state, stop_serving, stop_loop>;
+using job_front_message = std::variant<job_reply, rules_state, serving_state, stop_serving, stop_loop>;
 using job_daemon_message = std::variant<serving_stopped>;
 
 //! \brief Mailboxes and metrics that the tasks of a job daemon share; outlives the tasks.
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -100,7 +100,16 @@
 {
     if (m_term != nullptr)
         m_term->setRules(rules);
-    m_context.front.post(rules_changed { rules });
+    postRulesState();
+}
+
+void coordinator_task::postRulesState()
+{
+    auto state = m_rulesFollower->state();
+    if (state == m_postedRulesState)
+        return;
+    m_postedRulesState = state;
+    m_context.front.post(std::move(state));
 }
 
 void coordinator_task::onLeadershipChanged()
@@ -256,6 +265,7 @@
     const auto now = utils::nowIncludingSuspend();
     sendHello(now);
     m_rulesFollower->tick(now);
+    postRulesState();
     m_relayedControl->expireOrders(now);
     std::vector<job_call> timedOutCalls;
     for (const auto& [ticket, forwarded] : m_forwardedCalls) {
--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -35,6 +35,8 @@
     void onMessage(const coordinator_message& message);
     void onPeerMessage(zmq::message_t raw);
     void onLeadershipChanged();
+    //! \brief Sends the state of the rules to the front end if it has changed.
+    void postRulesState();
     void onRulesChanged(const std::shared_ptr<const jobs::deployment_rules>& rules);
     void handleCall(const job_call& call);
     void forwardToLeader(const job_call& call);
@@ -65,6 +67,7 @@
     std::map<std::uint64_t, forwarded_call> m_forwardedCalls;
     std::uint64_t m_nextTicket = 1;
     utils::time_point m_lastHelloSentAt;
+    rules_state m_postedRulesState;
     bool m_canServe = false;
     bool m_isShuttingDown = false;
 };
--- a/src/tasks/coordinator/rules_follower.cpp
+++ b/src/tasks/coordinator/rules_follower.cpp
@@ -17,6 +17,9 @@
     // Operators' changes have to be in force within 2.5 s; reading the store may take one second of it.
     constexpr utils::milliseconds maximumUnconfirmedTime { 1200 };
 
+    // Longer than a refresh that is due and times out.
+    constexpr utils::milliseconds unconfirmedWarningTime { 2250 };
+
     // Daemons send a hello twice a second; updates for a daemon that is gone would accumulate in its message queue.
     constexpr utils::milliseconds followerSilenceTimeout { 1300 };
 
@@ -51,6 +54,7 @@
 
 void rules_follower::tick(utils::time_point now)
 {
+    reportAge(now);
     const bool isDue = m_isLeader ? now >= m_lastRefreshAt + leaderRefreshInterval : now > std::max(confirmedAt(), m_lastRefreshAt) + maximumUnconfirmedTime;
     if (!isDue || m_watch.isRequestPending())
         return;
@@ -68,6 +72,24 @@
     return std::max(m_leaderConfirmedAt, m_watch.confirmedAt());
 }
 
+rules_state rules_follower::state() const
+{
+    const auto at = confirmedAt();
+    const auto source = at == utils::time_point() ? rules_source::None : at == m_leaderConfirmedAt ? rules_source::Leader
+                                                                                                   : rules_source::Store;
+    return { rules(), at, source, !m_watch.isSynced() };
+}
+
+void rules_follower::reportAge(utils::time_point now)
+{
+    const auto state = this->state();
+    const bool isUnconfirmed = state.rules != nullptr && now > state.confirmedAt + unconfirmedWarningTime;
+    if (isUnconfirmed == m_isReportedAsUnconfirmed)
+        return;
+    m_isReportedAsUnconfirmed = isUnconfirmed;
+    utils::logEvent(isUnconfirmed ? utils::events::rulesUnconfirmed : utils::events::rulesConfirmed, { { "version", std::to_string(state.rules->version) }, { "revision", std::to_string(m_history.revision()) }, { "age_ms", std::to_string(std::chrono::duration_cast<utils::milliseconds>(now - state.confirmedAt).count()) }, { "confirmed_by", std::string(toString(state.confirmedBy)) }, { "store_failing", state.isStoreFailing ? "true" : "false" } });
+}
+
 void rules_follower::onRulesKey(const std::string& key, const external::key_value* value)
 {
     if (key != m_format.rulesKey() || value == nullptr)
@@ -99,7 +121,10 @@
     if (!m_isLeader || m_history.rules() == nullptr)
         return;
     auto& follower = m_followers[hello.endpoint()];
+    const bool isChanged = follower.revision != hello.rules_revision();
     follower = { hello.rules_revision(), now };
+    if (isChanged && !m_history.changesSince(follower.revision))
+        utils::logEvent(utils::events::followerRevisionUnknown, { { "peer", hello.endpoint() }, { "peer_revision", std::to_string(follower.revision) }, { "revision", std::to_string(m_history.revision()) } });
     sendUpdate(hello.endpoint(), follower, hello.sent_us(), now);
 }
 
--- a/src/tasks/coordinator/rules_follower.h
+++ b/src/tasks/coordinator/rules_follower.h
@@ -8,6 +8,7 @@
 #include "jobs/deployment_format.h"
 #include "jobs/rules_history.h"
 #include "protocol/jobs.pb.h"
+#include "tasks/coordinator/coordinator_messages.h"
 #include "tasks/coordinator/prefix_watch.h"
 
 namespace camphorsaddle::tasks {
@@ -32,8 +33,8 @@
 
     //! \brief Rules in force; null before the first were read.
     const std::shared_ptr<const jobs::deployment_rules>& rules() const;
-    //! \brief Time at which the rules were last known to be the newest.
-    utils::time_point confirmedAt() const;
+    //! \brief The rules with the time and the source of their last confirmation.
+    rules_state state() const;
 
     //! \brief As leader: sends the changes that the daemon lacks.
     void replyToHello(const protocol::CarrierHello& hello, utils::time_point now);
@@ -49,6 +50,10 @@
         utils::time_point lastHeardAt;
     };
 
+    //! Time at which the rules were last known to be the newest.
+    utils::time_point confirmedAt() const;
+    void reportAge(utils::time_point now);
+
     void onRulesKey(const std::string& key, const external::key_value* value);
     void publishRules();
     void sendUpdate(const std::string& endpoint, known_follower& follower, std::int64_t helloMicroseconds, utils::time_point now);
@@ -63,6 +68,7 @@
     utils::time_point m_leaderConfirmedAt;
     utils::time_point m_lastRefreshAt;
     std::map<std::string, known_follower> m_followers;
+    bool m_isReportedAsUnconfirmed = false;
 };
 
 } // namespace camphorsaddle::tasks
--- a/src/tasks/job_front/job_front_task.cpp
+++ b/src/tasks/job_front/job_front_task.cpp
@@ -97,7 +97,7 @@
                        respond(found->second, reply);
                        m_openRequests.erase(found);
                    },
-                   [&](const rules_changed& change) { m_rules.emplace(change.rules); },
+                   [&](const rules_state& state) { setRules(state); },
                    [&](const serving_state& state) { m_canServe = state.canServe; },
                    [&](const stop_serving&) { beginShutdown(); },
                    [&](const stop_loop&) { loop().stop(); },
@@ -105,6 +105,13 @@
         message);
 }
 
+void job_front_task::setRules(const rules_state& state)
+{
+    if (state.rules != m_rulesState.rules)
+        m_rules.emplace(state.rules);
+    m_rulesState = state;
+}
+
 void job_front_task::send(const transport::http_responder& responder, int status, std::string body, utils::milliseconds retryAfter)
 {
     transport::http_response response = transport::jsonResponse(status, std::move(body));
@@ -117,7 +124,8 @@
 
 void job_front_task::rejectRequest(const transport::http_request& request, const transport::http_responder& responder, int status, const std::string& reason)
 {
-    utils::logEvent(utils::events::requestRefused, { { "method", request.method }, { "path", request.path }, { "status", std::to_string(status) }, { "reason", reason }, { "rules", std::to_string(m_rules ? m_rules->rules().version : 0) } });
+    const auto rulesAge = m_rulesState.confirmedBy == rules_source::None ? utils::milliseconds(-1) : std::chrono::duration_cast<utils::milliseconds>(utils::nowIncludingSuspend() - m_rulesState.confirmedAt);
+    utils::logEvent(utils::events::requestRefused, { { "method", request.method }, { "path", request.path }, { "status", std::to_string(status) }, { "reason", reason }, { "rules", std::to_string(m_rules ? m_rules->rules().version : 0) }, { "rules_age_ms", std::to_string(rulesAge.count()) }, { "confirmed_by", std::string(toString(m_rulesState.confirmedBy)) }, { "store_failing", m_rulesState.isStoreFailing ? "true" : "false" } });
     send(responder, status, nlohmann::json { { "error", reason } }.dump(), status == 503 ? utils::milliseconds(1000) : utils::milliseconds(0));
 }
 
--- a/src/tasks/job_front/job_front_task.h
+++ b/src/tasks/job_front/job_front_task.h
@@ -30,6 +30,7 @@
     struct open_request;
 
     void onMessage(const job_front_message& message);
+    void setRules(const rules_state& state);
     void onRequest(const transport::http_request& request, const transport::http_responder& responder);
     void respond(const open_request& request, const job_reply& reply);
     void rejectRequest(const transport::http_request& request, const transport::http_responder& responder, int status, const std::string& reason);
@@ -45,6 +46,7 @@
     std::unique_ptr<transport::http_server> m_readinessServer;
     std::unique_ptr<transport::http_server> m_metricsServer;
     std::optional<jobs::rules_index> m_rules;
+    rules_state m_rulesState;
     std::map<std::uint64_t, open_request> m_openRequests;
     std::uint64_t m_nextTicket = 1;
     bool m_canServe = false;
