Transport: End each HTTP call by a deadline of its own

Cause: libcurl 7.88, when one timeout of a transfer expires, also discards those of the same transfer that are due within the same millisecond, without acting on them (timeouts are compared in whole milliseconds). The watch sends no further refresh while one is open: the daemon never reads its rules itself again and depends on leaders for the rest of its life. The same holds for the refresh of the workers' entries in the leader.

Weighed: timeouts that differ by more (another timeout within a millisecond, such as that of a name lookup, would discard it all the same).

--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -2,6 +2,8 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -18,6 +20,7 @@
         http_call_id id = 0;
         http_call call;
         http_callback callback;
+        utils::time_point deadline;
         CURL* handle = nullptr;
         curl_slist* headers = nullptr;
         http_response response;
@@ -39,6 +42,13 @@
         return code == CURLE_OPERATION_TIMEDOUT ? absl::StatusCode::kDeadlineExceeded : absl::StatusCode::kUnknown;
     }
 
+    std::string timeoutCause(const http_call& call, bool isConnected)
+    {
+        if (isConnected)
+            return absl::StrCat("no complete response within ", call.timeout.count(), " ms");
+        return absl::StrCat("no connection within ", std::min(call.timeout, call.connectTimeout).count(), " ms");
+    }
+
     std::size_t onBody(char* data, std::size_t size, std::size_t count, void* target)
     {
         auto& current = *static_cast<transfer*>(target);
@@ -90,6 +100,13 @@
     void configure(transfer& current);
     void processSocketEvents(curl_socket_t socket, int events);
     void finishTransfers();
+    //! \brief Ends the transfers whose timeout has passed.
+    //!
+    //! libcurl's own limit of a transfer isn't used: libcurl discards a timeout that is due within a millisecond after another
+    //! one of the same transfer, which then never ends.
+    void endOverdueTransfers(utils::time_point now);
+    void startDeadlineTimer(utils::time_point now);
+    std::unique_ptr<transfer> takeTransfer(http_call_id id);
     http_result resultOf(transfer& current, CURLcode code) const;
     CURL* acquireHandle();
     void releaseTransfer(transfer& current);
@@ -97,6 +114,8 @@
     event_loop& m_loop;
     CURLM* m_multi;
     timer m_timer;
+    timer m_deadlineTimer;
+    std::set<std::pair<utils::time_point, http_call_id>> m_deadlines;
     std::unordered_map<curl_socket_t, std::unique_ptr<io_watcher>> m_watchers;
     std::unordered_map<http_call_id, std::unique_ptr<transfer>> m_transfers;
     std::vector<std::unique_ptr<io_watcher>> m_retiredWatchers;
@@ -110,6 +129,7 @@
     : m_loop(loop)
     , m_multi(curl_multi_init())
     , m_timer(loop, [this] { processSocketEvents(CURL_SOCKET_TIMEOUT, 0); })
+    , m_deadlineTimer(loop, [this] { endOverdueTransfers(m_loop.now()); })
 {
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &curl_client::onSocket);
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
@@ -164,7 +184,6 @@
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
     curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout.count()));
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, call.requiresNewConnection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, call.closesConnection ? 1L : 0L);
@@ -181,11 +200,45 @@
     current.callback = std::move(callback);
     current.handle = acquireHandle();
     configure(current);
+    const auto now = m_loop.now();
+    current.deadline = now + current.call.timeout;
+    m_deadlines.emplace(current.deadline, current.id);
     m_transfers.emplace(current.id, std::move(owned));
     curl_multi_add_handle(m_multi, current.handle);
+    if (m_deadlines.begin()->second == current.id)
+        startDeadlineTimer(now);
     return current.id;
 }
 
+void curl_client::startDeadlineTimer(utils::time_point now)
+{
+    if (!m_deadlines.empty())
+        m_deadlineTimer.startOnce(std::max(utils::milliseconds(0), std::chrono::ceil<utils::milliseconds>(m_deadlines.begin()->first - now)));
+}
+
+void curl_client::endOverdueTransfers(utils::time_point now)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const auto owned = takeTransfer(m_deadlines.begin()->second);
+        http_result result = resultOf(*owned, CURLE_OPERATION_TIMEDOUT);
+        releaseTransfer(*owned);
+        owned->callback(std::move(result));
+    }
+    startDeadlineTimer(now);
+    m_retiredWatchers.clear();
+}
+
+std::unique_ptr<transfer> curl_client::takeTransfer(http_call_id id)
+{
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end())
+        return nullptr;
+    auto owned = std::move(found->second);
+    m_transfers.erase(found);
+    m_deadlines.erase({ owned->deadline, id });
+    return owned;
+}
+
 void curl_client::releaseTransfer(transfer& current)
 {
     curl_multi_remove_handle(m_multi, current.handle);
@@ -195,12 +248,8 @@
 
 void curl_client::cancel(http_call_id id)
 {
-    const auto found = m_transfers.find(id);
-    if (found == m_transfers.end())
-        return;
-    const auto owned = std::move(found->second);
-    m_transfers.erase(found);
-    releaseTransfer(*owned);
+    if (const auto owned = takeTransfer(id))
+        releaseTransfer(*owned);
 }
 
 void curl_client::processSocketEvents(curl_socket_t socket, int events)
@@ -221,9 +270,7 @@
         const CURLcode code = message->data.result;
         transfer* current = nullptr;
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &current);
-        const auto found = m_transfers.find(current->id);
-        const auto owned = std::move(found->second);
-        m_transfers.erase(found);
+        const auto owned = takeTransfer(current->id);
         http_result result = resultOf(*owned, code);
         releaseTransfer(*owned);
         owned->callback(std::move(result));
@@ -245,9 +292,10 @@
     result.response.status = static_cast<int>(status);
     if (code == CURLE_OK)
         return result;
-    const std::string cause = current.isTooLarge ? absl::StrCat("the response is larger than ", current.call.responseLimit, " bytes")
-        : current.errorText[0] != '\0'           ? current.errorText
-                                                 : curl_easy_strerror(code);
+    const std::string cause = code == CURLE_OPERATION_TIMEDOUT ? timeoutCause(current.call, result.mayHaveBeenSent)
+        : current.isTooLarge                                   ? absl::StrCat("the response is larger than ", current.call.responseLimit, " bytes")
+        : current.errorText[0] != '\0'                         ? current.errorText
+                                                               : curl_easy_strerror(code);
     result.status = utils::makeError(statusCodeOf(code, result.mayHaveBeenSent), absl::StrCat(current.call.method, " ", current.call.url), hostAndPortOf(current.call.url), cause);
     return result;
 }
