Front: Refuse a route only by rules that are known to be recent

The users' rules exempt such machines; callers don't know that.

Cause: a request was decided by whatever rules the daemon held. confirmedAt() only timed the next refresh.

With older rules the request waits up to 0.5 s for a confirmation that the front end asks for. If there is none, a known queue is served (what has to be stored is refused by the store, other calls change nothing), and an unknown one gets 503 with Retry-After, since a newer version may have it.

--- a/src/tasks/coordinator/coordinator_messages.h
+++ b/src/tasks/coordinator/coordinator_messages.h
@@ -92,6 +92,9 @@
     bool operator==(const rules_state&) const = default;
 };
 
+//! \brief Asks the coordinator to find out whether the rules are still the newest.
+struct confirm_rules { };
+
 //! \brief Tells the front end whether this daemon can serve callers: it has rules and reaches the store or a leader.
 struct serving_state {
     bool canServe = false;
@@ -106,7 +109,7 @@
 //! \brief Stops the event loop of the task.
 struct stop_loop { };
 
-using coordinator_message = std::variant<job_call, stop_serving, stop_loop>;
+using coordinator_message = std::variant<job_call, confirm_rules, stop_serving, stop_loop>;
 using job_front_message = std::variant<job_reply, rules_state, serving_state, stop_serving, stop_loop>;
 using job_daemon_message = std::variant<serving_stopped>;
 
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -83,6 +83,7 @@
 {
     std::visit(utils::overloaded {
                    [&](const job_call& call) { handleCall(call); },
+                   [&](const confirm_rules&) { m_rulesFollower->requestConfirmation(utils::nowIncludingSuspend()); },
                    [&](const stop_serving&) {
                        m_isShuttingDown = true;
                        if (m_term != nullptr)
--- a/src/tasks/coordinator/job_daemon_settings.h
+++ b/src/tasks/coordinator/job_daemon_settings.h
@@ -7,6 +7,7 @@
 #include "external/transactional_store.h"
 #include "jobs/deployment_format.h"
 #include "jobs/engine_settings.h"
+#include "jobs/route_admission.h"
 #include "tasks/coordinator/leader_election.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -35,6 +36,7 @@
     double processors = 1;
     //! Time from the stop signal until the platform kills the process.
     utils::milliseconds shutdownGracePeriod { 6000 };
+    jobs::route_admission_settings routeAdmission;
     jobs::engine_settings engine;
     leader_election_settings leaderElection;
 };
--- a/src/tasks/coordinator/rules_follower.cpp
+++ b/src/tasks/coordinator/rules_follower.cpp
@@ -56,7 +56,13 @@
 {
     reportAge(now);
     const bool isDue = m_isLeader ? now >= m_lastRefreshAt + leaderRefreshInterval : now > std::max(confirmedAt(), m_lastRefreshAt) + maximumUnconfirmedTime;
-    if (!isDue || m_watch.isRequestPending())
+    if (isDue)
+        requestConfirmation(now);
+}
+
+void rules_follower::requestConfirmation(utils::time_point now)
+{
+    if (m_watch.isRequestPending())
         return;
     m_lastRefreshAt = now;
     m_watch.refresh();
--- a/src/tasks/coordinator/rules_follower.h
+++ b/src/tasks/coordinator/rules_follower.h
@@ -31,6 +31,9 @@
     //! \brief Requests changes from the store when a refresh is due; must be called regularly.
     void tick(utils::time_point now);
 
+    //! \brief Requests changes from the store now, unless a request is pending.
+    void requestConfirmation(utils::time_point now);
+
     //! \brief Rules in force; null before the first were read.
     const std::shared_ptr<const jobs::deployment_rules>& rules() const;
     //! \brief The rules with the time and the source of their last confirmation.
--- a/src/tasks/job_front/job_front_task.cpp
+++ b/src/tasks/job_front/job_front_task.cpp
@@ -21,6 +21,7 @@
     // The load balancer needs two failed checks, one second apart, before it sends new connections elsewhere.
     constexpr utils::milliseconds balancerReactionTime { 2500 };
     constexpr utils::milliseconds shutdownCheckInterval { 50 };
+    constexpr utils::milliseconds confirmationCheckInterval { 50 };
     // The process has to exit before the platform kills it.
     constexpr utils::milliseconds shutdownMargin { 800 };
 
@@ -37,8 +38,10 @@
     : m_context(context)
     , m_settings(std::move(settings))
     , m_deployment(deployment)
+    , m_confirmationTimer(loop(), [this] { decideWaitingRequests(); })
     , m_shutdownCheckTimer(loop(), [this] { checkShutdown(); })
     , m_outcomeCounts(context.metrics, "camphorsaddle_job_calls_total")
+    , m_admissionCounts(context.metrics, "camphorsaddle_job_admissions_total")
     , m_replyTimes(context.metrics.addDistribution("camphorsaddle_job_call_seconds", 0.0005, 10, 40))
 {
 }
@@ -81,6 +84,8 @@
 
 void job_front_task::close()
 {
+    m_confirmationTimer.stop();
+    m_waitingRequests.clear();
     m_openRequests.clear();
     m_frontServer.reset();
     m_readinessServer.reset();
@@ -110,6 +115,12 @@
     if (state.rules != m_rulesState.rules)
         m_rules.emplace(state.rules);
     m_rulesState = state;
+    decideWaitingRequests();
+}
+
+std::uint16_t job_front_task::port() const
+{
+    return m_frontServer->port();
 }
 
 void job_front_task::send(const transport::http_responder& responder, int status, std::string body, utils::milliseconds retryAfter)
@@ -136,22 +147,65 @@
         rejectRequest(request, responder, 503, "no configuration yet");
         return;
     }
+    const auto now = utils::nowIncludingSuspend();
+    if (decideRequest(request, responder, now))
+        return;
+    m_admissionCounts.count(jobs::route_admission::AwaitConfirmation);
+    m_waitingRequests.push_back({ request, responder, now });
+    m_context.coordinator.post(confirm_rules {});
+    if (!m_confirmationTimer.isActive())
+        m_confirmationTimer.startRepeating(confirmationCheckInterval);
+}
+
+void job_front_task::decideWaitingRequests()
+{
+    // A response may let the server accept another request, which is added to m_waitingRequests.
+    for (auto& waiting : std::exchange(m_waitingRequests, {})) {
+        if (!decideRequest(waiting.request, waiting.responder, waiting.arrivedAt))
+            m_waitingRequests.push_back(std::move(waiting));
+    }
+    if (m_waitingRequests.empty())
+        m_confirmationTimer.stop();
+}
+
+bool job_front_task::decideRequest(const transport::http_request& request, const transport::http_responder& responder, utils::time_point arrivedAt)
+{
+    const auto now = utils::nowIncludingSuspend();
     const auto* queue = m_rules->match(request.header("host"), request.path);
-    if (queue == nullptr) {
+    const auto admission = jobs::admitRoute(m_settings.routeAdmission, { queue != nullptr, arrivedAt, m_rulesState.confirmedAt, m_rulesState.isStoreFailing }, now);
+    if (admission == jobs::route_admission::AwaitConfirmation)
+        return false;
+    m_admissionCounts.count(admission);
+    switch (admission) {
+    case jobs::route_admission::Serve:
+        serveRequest(request, responder, *queue, std::chrono::duration_cast<utils::milliseconds>(now - arrivedAt));
+        break;
+    case jobs::route_admission::UnknownQueue:
         rejectRequest(request, responder, 404, "no such queue");
-        return;
+        break;
+    case jobs::route_admission::Unconfirmed:
+        rejectRequest(request, responder, 503, "no such queue in rules that can't be confirmed");
+        break;
+    case jobs::route_admission::AwaitConfirmation:
+        break;
     }
+    return true;
+}
+
+void job_front_task::serveRequest(const transport::http_request& request, const transport::http_responder& responder, const jobs::queue_rules& queue, utils::milliseconds waited)
+{
     job_call call;
     call.ticket = m_nextTicket++;
-    call.subject = request.path.substr(queue->prefix.size());
+    call.subject = request.path.substr(queue.prefix.size());
     call.timeout = defaultCallTimeout;
     std::int64_t timeoutMilliseconds = 0;
     if (absl::SimpleAtoi(request.header(m_deployment.callerTimeoutHeader()), &timeoutMilliseconds) && timeoutMilliseconds > 0)
         call.timeout = std::min(utils::milliseconds(timeoutMilliseconds), maximumCallTimeout);
+    call.timeout = std::max(utils::milliseconds(1), call.timeout - waited);
     if (request.method == "GET") {
         call.kind = call.subject.empty() ? call_kind::Pending : call_kind::Status;
         if (call.subject.empty())
-            call.subject = queue->name;
+            call.subject = queue.name;
     } else if (request.method == "DELETE") {
         call.kind = call_kind::Cancel;
     } else if (request.method == "POST") {
@@ -163,14 +217,14 @@
         }
         call.job = *std::move(job);
         call.job.id = call.subject;
-        call.job.queue = queue->name;
-        call.job.service = queue->service;
+        call.job.queue = queue.name;
+        call.job.service = queue.service;
         call.job.acceptedAt = std::chrono::duration_cast<utils::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         if (const auto status = jobs::validate(call.job); !status.ok()) {
             rejectRequest(request, responder, 400, utils::describe(status));
             return;
         }
-        if (queue->needsExternalPlacement) {
+        if (queue.needsExternalPlacement) {
             rejectRequest(request, responder, 503, "queues with advice are not supported");
             return;
         }
@@ -222,7 +276,7 @@
 {
     const auto now = loop().now();
     const auto deadline = *m_shutdownStartedAt + m_settings.shutdownGracePeriod - shutdownMargin;
-    const bool isQuiet = m_openRequests.empty() && now > *m_shutdownStartedAt + balancerReactionTime && now > m_lastRequestAt + quietPeriod;
+    const bool isQuiet = m_openRequests.empty() && m_waitingRequests.empty() && now > *m_shutdownStartedAt + balancerReactionTime && now > m_lastRequestAt + quietPeriod;
     if (!isQuiet && now < deadline)
         return;
     m_shutdownCheckTimer.stop();
