Tests: Reproduce a task that crashes worker after worker

The simulated fleet can make tasks deadly, lets the crashed worker return under its id or a new one, and counts starts after the third crash.

--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -22,6 +22,17 @@
     bool failsAll = false;
     bool hangs = false;
     bool isUnhealthy = false;
+    //! The process isn't there: connections are refused.
+    bool isDown = false;
+    //! Another worker has its address.
+    bool isReplaced = false;
+};
+
+//! \brief How a worker returns that a task has crashed.
+struct crash_return {
+    utils::milliseconds delay { 3000 };
+    //! Returns under a new id at the same address.
+    bool hasNewId = false;
 };
 
 //! \brief A worker in virtual time that follows the worker protocol.
@@ -71,6 +82,19 @@
     void removeWorker(const std::string& id);
     void submit(const job_spec& job);
     void cancel(const std::string& id);
+    //! \brief Makes the task crash each worker that starts it, \a delay after the start.
+    void makeDeadly(const external::task_id& task, utils::milliseconds delay = utils::milliseconds(10));
+    void setCrashReturn(crash_return value)
+    {
+        m_crashReturn = value;
+    }
+    //! \brief Number of workers that the task has crashed.
+    unsigned crashCount(const external::task_id& task) const;
+    //! \brief Sum over all tasks of the runs that ended with a crash of their worker.
+    unsigned runsLostInCrashes() const
+    {
+        return m_runsLostInCrashes;
+    }
     void setRules(deployment_rules rules);
     //! \brief Starts the term of another leader from the stored state, after a crash or a planned handover of the
     //! former one.
@@ -121,6 +145,7 @@
     external::order_reply apply(fake_worker& worker, const external::run_order& order);
     void observe(const observe_command& command);
     void endRuns(fake_worker& worker);
+    void crash(const std::string& worker, const external::task_id& task);
     void close(fake_worker& worker, const external::task_id& task, external::end_cause cause);
     bool isCompletionPreserved(const external::task_id& task) const;
     void checkStart(const fake_worker& worker, const external::run_order& order);
@@ -152,6 +177,12 @@
     std::set<std::string> m_reportedJobs;
     std::vector<std::string> m_violations;
     std::size_t m_commandCount = 0;
+    std::map<external::task_id, utils::milliseconds> m_deadlyTasks;
+    std::map<external::task_id, unsigned> m_crashCounts;
+    std::map<external::task_id, unsigned> m_startsAfterThirdCrash;
+    crash_return m_crashReturn;
+    unsigned m_runsLostInCrashes = 0;
+    unsigned m_replacementCount = 0;
 };
 
 //! \brief Steps, jobs and rules for tests.
--- /dev/null
+++ b/tests/auto/jobs/tst_crashing_tasks.cpp
@@ -0,0 +1,154 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "jobs/simulated_fleet.h"
+
+using namespace camphorsaddle;
+using namespace camphorsaddle::jobs;
+using namespace camphorsaddle::jobs::test;
+
+namespace {
+
+constexpr utils::milliseconds settleTime { 200 };
+constexpr utils::milliseconds observationTime { 60'000 };
+constexpr unsigned workerCount = 10;
+constexpr unsigned soundJobCount = 8;
+
+void addWorkers(simulated_fleet& fleet)
+{
+    for (unsigned number = 0; number < workerCount; ++number)
+        fleet.addWorker(absl::StrCat("w", number));
+    fleet.run(settleTime);
+}
+
+} // namespace
+
+struct crash_case {
+    const char* name;
+    crash_return workerReturn;
+    //! Steps of the job whose first task crashes its workers.
+    std::vector<step_spec> (*steps)();
+    void (*disturb)(simulated_fleet& fleet);
+};
+
+class crashing_tasks : public testing::TestWithParam<crash_case> {
+};
+
+INSTANTIATE_TEST_SUITE_P(Crashes, crashing_tasks,
+    testing::Values(
+        crash_case { "sameId", {}, [] { return std::vector { batchStep(4), batchStep(2, { 0 }) }; }, [](simulated_fleet&) {
+                    } },
+        crash_case { "newId", { utils::milliseconds(3000), true }, [] { return std::vector { batchStep(4) }; }, [](simulated_fleet&) {
+                    } },
+        crash_case { "backAfterTheLease", { utils::milliseconds(7000), false }, [] { return std::vector { batchStep(4) }; }, [](simulated_fleet&) {
+                    } },
+        crash_case { "newIdAfterTheLease", { utils::milliseconds(7000), true }, [] { return std::vector { batchStep(4) }; }, [](simulated_fleet&) {
+                    } },
+        crash_case { "longRunning", {}, [] { return std::vector { serviceStep(3, "service") }; }, [](simulated_fleet&) {
+                    } },
+        crash_case { "speculative", {}, [] { auto step = batchStep(4); step.speculative = true; return std::vector { step }; }, [](simulated_fleet&) {
+                    } },
+        crash_case { "changeOfLeader", {}, [] { return std::vector { batchStep(4) }; }, [](simulated_fleet& fleet) {
+                        fleet.run(utils::milliseconds(3500));
+                        fleet.changeLeader();
+                    } },
+        crash_case { "twoChangesOfLeader", {}, [] { return std::vector { batchStep(4) }; }, [](simulated_fleet& fleet) {
+                        fleet.run(utils::milliseconds(1000));
+                        fleet.changeLeader();
+                        fleet.run(utils::milliseconds(6000));
+                        fleet.changeLeader(true);
+                    } },
+        crash_case { "silentWorkerBeside", {}, [] { return std::vector { batchStep(4) }; }, [](simulated_fleet& fleet) {
+                        fleet.worker("w0").faults.isUnresponsive = true;
+                        fleet.run(utils::milliseconds(9000));
+                        fleet.worker("w0").faults.isUnresponsive = false;
+                    } },
+        crash_case { "lateOrders", {}, [] { return std::vector { batchStep(4) }; }, [](simulated_fleet& fleet) {
+                        for (const char* id : { "w0", "w1", "w2" })
+                            fleet.worker(id).faults.startDelay = utils::milliseconds(2500);
+                    } }),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST_P(crashing_tasks, OneTaskCrashesWorkerAfterWorker)
+{
+    simulated_fleet fleet;
+    fleet.setCrashReturn(GetParam().workerReturn);
+    addWorkers(fleet);
+    for (unsigned number = 0; number < soundJobCount; ++number)
+        fleet.submit(makeJob(absl::StrCat("sound", number), { batchStep(10), batchStep(6, { 0 }) }));
+    fleet.submit(makeJob("service", { serviceStep(5, "other service") }));
+    fleet.run(settleTime);
+    const external::task_id deadly { "deadly", 0, 0, 0 };
+    fleet.makeDeadly(deadly);
+    fleet.submit(makeJob("deadly", GetParam().steps()));
+    GetParam().disturb(fleet);
+    const bool isGivenUp = fleet.runUntil([&] { return fleet.phase("deadly") == job_phase::Failed; }, observationTime);
+    EXPECT_TRUE(isGivenUp);
+    fleet.run(utils::milliseconds(20'000));
+    EXPECT_GE(fleet.crashCount(deadly), 2u);
+    EXPECT_LE(fleet.crashCount(deadly), 4u);
+    EXPECT_EQ(fleet.violations(), std::vector<std::string>());
+    for (unsigned number = 0; number < soundJobCount; ++number)
+        EXPECT_EQ(fleet.phase(absl::StrCat("sound", number)), job_phase::Completed) << number;
+    EXPECT_EQ(fleet.workersRunning("service").size(), 5u);
+}
+
+// A sound task may be under several crashed workers: beside a task that crashes them, or because they fail by themselves.
+TEST(CrashingTasks, SoundTaskIsGivenUpWithTheOneThatCrashes)
+{
+    for (const bool hasNewId : { false, true }) {
+        simulated_fleet fleet;
+        fleet.setCrashReturn({ utils::milliseconds(3000), hasNewId });
+        addWorkers(fleet);
+        for (unsigned round = 0; round < 12; ++round) {
+            const auto deadlyJob = absl::StrCat("deadly", round);
+            fleet.makeDeadly({ deadlyJob, 0, 0, round % 4 });
+            fleet.submit(makeJob(deadlyJob, { batchStep(4) }));
+            fleet.submit(makeJob(absl::StrCat("sound", round), { batchStep(12), batchStep(4, { 0 }) }));
+            fleet.run(utils::milliseconds(700));
+        }
+        fleet.run(utils::milliseconds(40'000));
+        EXPECT_EQ(fleet.violations(), std::vector<std::string>());
+        for (unsigned round = 0; round < 12; ++round) {
+            EXPECT_EQ(fleet.phase(absl::StrCat("sound", round)), job_phase::Completed) << round;
+            EXPECT_EQ(fleet.phase(absl::StrCat("deadly", round)), job_phase::Failed) << round;
+            EXPECT_LE(fleet.crashCount({ absl::StrCat("deadly", round), 0, 0, round % 4 }), 3u) << round;
+        }
+    }
+}
+
+TEST(CrashingTasks, SoundTaskIsGivenUpWhenItsWorkersRestart)
+{
+    simulated_fleet fleet(7);
+    addWorkers(fleet);
+    std::mt19937_64 random(7);
+    for (unsigned round = 0; round < 40; ++round) {
+        fleet.submit(makeJob(absl::StrCat("sound", round), { batchStep(6), batchStep(3, { 0 }) }));
+        fleet.run(utils::milliseconds(50 + random() % 250));
+        fleet.restartWorker(absl::StrCat("w", random() % workerCount));
+    }
+    fleet.run(utils::milliseconds(30'000));
+    EXPECT_EQ(fleet.violations(), std::vector<std::string>());
+    for (unsigned round = 0; round < 40; ++round)
+        EXPECT_EQ(fleet.phase(absl::StrCat("sound", round)), job_phase::Completed) << round;
+}
+
+TEST(CrashingTasks, WorkerThatWasOnlySilentCountsAsCrashed)
+{
+    simulated_fleet fleet;
+    addWorkers(fleet);
+    fleet.submit(makeJob("job", { serviceStep(1, "service") }));
+    for (unsigned round = 0; round < 4; ++round) {
+        ASSERT_TRUE(fleet.runUntil([&] { return fleet.workersRunning("job").size() == 1; }, observationTime));
+        const auto id = fleet.workersRunning("job").front();
+        fleet.worker(id).faults.isUnresponsive = true;
+        fleet.run(utils::milliseconds(7000));
+        fleet.worker(id).faults.isUnresponsive = false;
+    }
+    fleet.run(utils::milliseconds(10'000));
+    EXPECT_EQ(fleet.phase("job"), job_phase::Running);
+    EXPECT_EQ(fleet.workersRunning("job").size(), 1u);
+    EXPECT_EQ(fleet.violations(), std::vector<std::string>());
+}
