Jobs: Compute shares of a worker's capacity in one place

startTask divided by the capacity without the guard that three other places had. A capacity may now shrink to nothing. No failure was reproduced: beside service tasks such a worker gets no best-effort tasks, and without them nothing reads the usage.

--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -505,7 +505,7 @@
     const auto& spec = job.spec.steps[step];
     auto& run = openRun(job, step, index, worker, task.lastRun + 1, now);
     if (spec.isBestEffort) {
-        addUsage(worker.unreportedUsage, run.image, static_cast<double>(spec.taskResources.processors) / static_cast<double>(worker.description.capacity.processors));
+        addUsage(worker.unreportedUsage, run.image, shareOfCapacity(worker, spec.taskResources.processors));
         updateServiceHeadrooms(worker, m_interference);
     }
     run.checkpoint = spec.hasCheckpoints ? task.checkpoint : std::string();
--- a/src/libs/jobs/job_engine_pacing.cpp
+++ b/src/libs/jobs/job_engine_pacing.cpp
@@ -21,11 +21,6 @@
     constexpr utils::milliseconds paceEffectDelay { 550 };
     constexpr int minimumPaceChange = 10;
 
-    double capacityOf(const worker_state& worker)
-    {
-        return static_cast<double>(std::max<std::int64_t>(worker.description.capacity.processors, 1));
-    }
-
     bool isServing(const run_state& run)
     {
         const auto& spec = run.job->spec.steps[run.step];
@@ -41,13 +36,13 @@
     for (const auto* run : worker.runs) {
         const auto& spec = run->job->spec.steps[run->step];
         if (spec.isBestEffort && run->load > 0)
-            addUsage(usage, run->image, static_cast<double>(run->load) / capacityOf(worker));
+            addUsage(usage, run->image, shareOfCapacity(worker, run->load));
     }
     worker.unreportedUsage.clear();
     for (const auto* run : worker.runs) {
         const auto& spec = run->job->spec.steps[run->step];
         if (spec.isBestEffort && run->load == 0 && run->pace > 0)
-            addUsage(worker.unreportedUsage, run->image, static_cast<double>(spec.taskResources.processors) * run->pace / 100 / capacityOf(worker));
+            addUsage(worker.unreportedUsage, run->image, shareOfCapacity(worker, spec.taskResources.processors) * run->pace / 100);
     }
     for (auto* run : worker.runs) {
         if (!isServing(*run) || run->load <= 0) {
@@ -87,7 +82,7 @@
     }
     const auto headroomLossOf = [&](const run_state& serviceRun, const run_state& bestEffortRun) {
         const auto& spec = bestEffortRun.job->spec.steps[bestEffortRun.step];
-        return m_interference.pressure(serviceRun.image, bestEffortRun.image) * static_cast<double>(spec.taskResources.processors) / capacityOf(worker);
+        return m_interference.pressure(serviceRun.image, bestEffortRun.image) * shareOfCapacity(worker, spec.taskResources.processors);
     };
     std::map<run_state*, int> paces;
     for (auto* bestEffortRun : bestEffortRuns)
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -29,6 +29,11 @@
 
 } // namespace
 
+double shareOfCapacity(const worker_state& worker, std::int64_t processors)
+{
+    return static_cast<double>(processors) / static_cast<double>(std::max<std::int64_t>(worker.description.capacity.processors, 1));
+}
+
 bool isOpenForTasks(const worker_state& worker, utils::milliseconds withdrawalGracePeriod, utils::time_point now)
 {
     const bool isListed = worker.isAnnounced || now < worker.withdrawnAt + withdrawalGracePeriod;
@@ -92,22 +97,20 @@
 
 bool bestEffortFits(const worker_state& worker, const step_spec& step, image_index image, const interference_model& interference, double needed)
 {
-    const double share = static_cast<double>(step.taskResources.processors) / static_cast<double>(std::max<std::int64_t>(worker.description.capacity.processors, 1));
-    return minimumHeadroomWith(worker, image, share, interference) >= needed;
+    return minimumHeadroomWith(worker, image, shareOfCapacity(worker, step.taskResources.processors), interference) >= needed;
 }
 
 double placementCost(const worker_state& worker, const step_spec& step, image_index image, const interference_model& interference)
 {
-    const auto capacity = static_cast<double>(std::max<std::int64_t>(worker.description.capacity.processors, 1));
     double cost = 0;
     if (step.isBestEffort) {
-        const double share = static_cast<double>(step.taskResources.processors) / capacity;
-        const double idle = static_cast<double>(idleProcessors(worker)) / capacity - share;
+        const double share = shareOfCapacity(worker, step.taskResources.processors);
+        const double idle = shareOfCapacity(worker, idleProcessors(worker)) - share;
         cost = std::max(0.0, -idle) * 4 - headroomWeight * std::min(minimumHeadroomWith(worker, image, share, interference), maximumUsefulHeadroom);
     } else {
-        cost = static_cast<double>(worker.allocated.processors + step.taskResources.processors) / capacity;
+        cost = shareOfCapacity(worker, worker.allocated.processors + step.taskResources.processors);
         if (step.isLongRunning)
-            cost += static_cast<double>(worker.bestEffortProcessors) / capacity;
+            cost += shareOfCapacity(worker, worker.bestEffortProcessors);
     }
     if (!step.rack.empty() && step.rack != worker.description.rack)
         cost += otherRackCost;
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -15,6 +15,9 @@
 //! \brief Resources that a task of the step reserves on its worker. Best-effort tasks reserve no processors.
 model::resources reservedResources(const step_spec& step);
 
+//! \brief Processors as a share of the worker's capacity; of a single thousandth of a core if it has none.
+double shareOfCapacity(const worker_state& worker, std::int64_t processors);
+
 //! \brief Whether a task of the step may be started on the worker now.
 bool mayPlace(const worker_state& worker, const step_spec& step, const std::string& service, utils::milliseconds withdrawalGracePeriod, utils::time_point now);
 
