Jobs: Start tasks by recent capacities on workers that don't reject overload

Cause: a worker's directory entry was used for as long as it existed, whatever its age, and the capacity of a former process until the entry of the new one arrived. The operators' word whether workers reject overload wasn't read.

Change: entries carry the worker's clock at their renewal; with the clock of its replies the engine knows the entry's age, also that of an old entry in a new leader's listing. A worker that doesn't reject overload gets tasks while that is below a contact time and a heartbeat, less 1.9 s for the order. The capacity is logged with the entry.

Ruled out (hypothesis 3): running and stopping tasks count until their end, also below a shrunk capacity. Hypothesis 2, late orders: a start without an answer is stopped within about 1.3 s, after which the worker rejects it.

Left: the price is that such workers get no tasks from 3.6 s after their last heartbeat that the leader knows of, for example while the store is down.

--- a/src/libs/jobs/engine_settings.h
+++ b/src/libs/jobs/engine_settings.h
@@ -39,6 +39,9 @@
     utils::milliseconds isolationTimeout { 1000 };
     //! How long a task that was suspected before waits for the proof that its unresponsive worker has crashed.
     utils::milliseconds crashResolutionTime { 3000 };
+    //! Longest age of the directory entry by which a task is started on a worker that doesn't reject overload. Its capacity
+    //! may have shrunk since.
+    utils::milliseconds maximumCapacityAge { 3600 };
     //! How many run numbers each leader term reserves for a task.
     std::uint64_t runNumbersPerTerm = 1000;
 
--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -34,4 +34,11 @@
     return absl::OkStatus();
 }
 
+bool isRenewalOf(const worker_description& renewed, const worker_description& known)
+{
+    auto unchanged = known;
+    unchanged.renewedAt = renewed.renewedAt;
+    return renewed == unchanged;
+}
+
 } // namespace camphorsaddle::jobs
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -79,6 +79,8 @@
     utils::milliseconds timeout { 0 };
     //! An external service chooses the workers for a step.
     bool needsExternalPlacement = false;
+    //! The service's workers reject tasks that exceed their capacity; others start whatever they are ordered to.
+    bool workersRejectOverload = false;
 
     auto operator<=>(const queue_rules&) const = default;
 };
@@ -129,8 +131,13 @@
     utils::milliseconds remainingTime { 0 };
     //! Incarnation of the worker, which increases with each restart; 0 if unknown.
     std::int64_t incarnation = 0;
+    //! The worker's clock, in ms, when it last renewed the entry; 0 if unknown.
+    std::int64_t renewedAt = 0;
 
     auto operator<=>(const worker_description&) const = default;
 };
 
+//! \brief Whether \a renewed differs from \a known at most by the time of its renewal.
+bool isRenewalOf(const worker_description& renewed, const worker_description& known);
+
 } // namespace camphorsaddle::jobs
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -19,6 +19,8 @@
 void job_engine::setRules(std::shared_ptr<const deployment_rules> rules)
 {
     m_rules = rules_index(std::move(rules));
+    for (auto* worker : m_workerList)
+        worker->rejectsOverload = m_rules.rejectsOverload(worker->description.service);
 }
 
 worker_state& job_engine::ensureWorker(const std::string& id, utils::time_point now)
@@ -37,6 +39,14 @@
 void job_engine::announceWorker(const worker_description& worker, utils::time_point now)
 {
     auto& known = ensureWorker(worker.id, now);
+    // An entry of a former incarnation, which a listing may still show, says nothing about the current one.
+    const bool isCurrent = worker.incarnation == 0 || worker.incarnation >= known.description.incarnation;
+    if (isCurrent)
+        known.announcedAt = now;
+    if (known.isAnnounced && isRenewalOf(worker, known.description)) {
+        known.description.renewedAt = worker.renewedAt;
+        return;
+    }
     if (known.description.endpoint != worker.endpoint) {
         // The process that had the address before has ended.
         for (auto* other : m_workerList) {
@@ -50,6 +60,8 @@
     const auto incarnation = std::max(known.description.incarnation, worker.incarnation);
     known.description = worker;
     known.description.incarnation = incarnation;
+    known.announcedAt = isCurrent ? now : utils::time_point();
+    known.rejectsOverload = m_rules.rejectsOverload(worker.service);
     queueForOrders(known);
 }
 
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -288,7 +288,7 @@
     ++m_evaluatedPlacements;
     const auto& spec = job.spec.steps[step];
     const auto image = job.steps[step].image;
-    if (!worker.isOnRoster || !mayPlace(worker, spec, job.spec.service, m_settings.withdrawalGracePeriod, now))
+    if (!worker.isOnRoster || !mayPlace(worker, spec, job.spec.service, m_settings, now))
         return std::nullopt;
     if (spec.maximumTasksPerWorker > 0 && runsOfStep(worker, job, step) >= spec.maximumTasksPerWorker)
         return std::nullopt;
@@ -441,7 +441,7 @@
         return;
     std::vector<open_worker> openWorkers;
     for (auto* worker : m_workerList) {
-        if (worker->isOnRoster && isOpenForTasks(*worker, m_settings.withdrawalGracePeriod, now))
+        if (worker->isOnRoster && isOpenForTasks(*worker, m_settings, now))
             openWorkers.push_back({ worker, worker->description.capacity - worker->allocated });
     }
     std::vector<failed_search> failed;
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -30,6 +30,8 @@
         worker.hasAcceptedTerm = false;
     }
     worker.description.incarnation = incarnation;
+    // The new process may have another capacity.
+    worker.announcedAt = {};
     worker.clock = 0;
     worker.acknowledgedEnd = 0;
     worker.lastEnd = 0;
--- a/src/libs/jobs/job_engine_rebalancing.cpp
+++ b/src/libs/jobs/job_engine_rebalancing.cpp
@@ -198,7 +198,7 @@
 {
     auto withoutResources = step;
     withoutResources.taskResources = {};
-    return mayPlace(worker, withoutResources, worker.description.service, m_settings.withdrawalGracePeriod, now);
+    return mayPlace(worker, withoutResources, worker.description.service, m_settings, now);
 }
 
 } // namespace camphorsaddle::jobs
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -163,6 +163,10 @@
 struct worker_state {
     worker_description description;
     bool isAnnounced = false;
+    //! When a renewal of its directory entry arrived last; the epoch before an entry of the current incarnation.
+    utils::time_point announcedAt;
+    //! It rejects tasks that exceed its capacity; any other worker starts whatever it is ordered to.
+    bool rejectsOverload = false;
     //! The stored roster lists it, so that the next leader queries its runs.
     bool isOnRoster = false;
     //! When its directory entry disappeared.
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -29,15 +29,24 @@
 
 } // namespace
 
+utils::time_point capacityKnownAt(const worker_state& worker)
+{
+    // The entry may be older than its arrival, for example in the listing of a new leader.
+    if (worker.clock == 0 || worker.description.renewedAt == 0)
+        return worker.announcedAt;
+    return std::min(worker.announcedAt, worker.clockUpdatedAt - utils::milliseconds(worker.clock - worker.description.renewedAt));
+}
+
 double shareOfCapacity(const worker_state& worker, std::int64_t processors)
 {
     return static_cast<double>(processors) / static_cast<double>(std::max<std::int64_t>(worker.description.capacity.processors, 1));
 }
 
-bool isOpenForTasks(const worker_state& worker, utils::milliseconds withdrawalGracePeriod, utils::time_point now)
+bool isOpenForTasks(const worker_state& worker, const engine_settings& settings, utils::time_point now)
 {
-    const bool isListed = worker.isAnnounced || now < worker.withdrawnAt + withdrawalGracePeriod;
-    return isListed && worker.hasAcceptedTerm && !worker.description.isDraining && worker.unansweredObserves == 0 && worker.suspectRun == nullptr && !worker.reliability.isSuspended(now);
+    const bool isListed = worker.isAnnounced || now < worker.withdrawnAt + settings.withdrawalGracePeriod;
+    const bool isCapacityKnown = worker.rejectsOverload || now <= capacityKnownAt(worker) + settings.maximumCapacityAge;
+    return isListed && isCapacityKnown && worker.hasAcceptedTerm && !worker.description.isDraining && worker.unansweredObserves == 0 && worker.suspectRun == nullptr && !worker.reliability.isSuspended(now);
 }
 
 model::resources reservedResources(const step_spec& step)
@@ -48,9 +57,9 @@
     return reserved;
 }
 
-bool mayPlace(const worker_state& worker, const step_spec& step, const std::string& service, utils::milliseconds withdrawalGracePeriod, utils::time_point now)
+bool mayPlace(const worker_state& worker, const step_spec& step, const std::string& service, const engine_settings& settings, utils::time_point now)
 {
-    if (worker.description.service != service || !isOpenForTasks(worker, withdrawalGracePeriod, now))
+    if (worker.description.service != service || !isOpenForTasks(worker, settings, now))
         return false;
     if (worker.reliability.isOnTrial() && hasBatchRun(worker))
         return false;
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -2,15 +2,17 @@
 
 #include <string>
 
+#include "jobs/engine_settings.h"
 #include "jobs/interference_model.h"
 #include "jobs/job_state.h"
 
 namespace camphorsaddle::jobs {
 
+//! \brief Time at which the worker had the capacity that its directory entry states.
+utils::time_point capacityKnownAt(const worker_state& worker);
+
 //! \brief Whether the worker may be given any task now, as far as that depends on the worker alone.
-//!
-//! \a withdrawalGracePeriod is the time for which a worker without a directory entry still gets tasks.
-bool isOpenForTasks(const worker_state& worker, utils::milliseconds withdrawalGracePeriod, utils::time_point now);
+bool isOpenForTasks(const worker_state& worker, const engine_settings& settings, utils::time_point now);
 
 //! \brief Resources that a task of the step reserves on its worker. Best-effort tasks reserve no processors.
 model::resources reservedResources(const step_spec& step);
@@ -19,7 +21,7 @@
 double shareOfCapacity(const worker_state& worker, std::int64_t processors);
 
 //! \brief Whether a task of the step may be started on the worker now.
-bool mayPlace(const worker_state& worker, const step_spec& step, const std::string& service, utils::milliseconds withdrawalGracePeriod, utils::time_point now);
+bool mayPlace(const worker_state& worker, const step_spec& step, const std::string& service, const engine_settings& settings, utils::time_point now);
 
 //! \brief Number of runs of a step on a worker.
 unsigned runsOfStep(const worker_state& worker, const job_state& job, unsigned step);
--- a/src/libs/jobs/rules_index.cpp
+++ b/src/libs/jobs/rules_index.cpp
@@ -12,6 +12,8 @@
     for (const auto& queue : m_rules->queues) {
         m_byName.emplace(queue.name, &queue);
         m_byHost[queue.host].push_back(&queue);
+        auto& rejects = m_rejectsOverload.try_emplace(queue.service, true).first->second;
+        rejects = rejects && queue.workersRejectOverload;
     }
     for (auto& [host, queues] : m_byHost)
         std::ranges::stable_sort(queues, std::greater(), [](const auto* queue) { return queue->prefix.size(); });
@@ -32,6 +34,12 @@
     return found == queues->second.end() ? nullptr : *found;
 }
 
+bool rules_index::rejectsOverload(const std::string& service) const
+{
+    const auto found = m_rejectsOverload.find(service);
+    return found != m_rejectsOverload.end() && found->second;
+}
+
 const deployment_rules& rules_index::rules() const
 {
     return *m_rules;
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -132,9 +132,12 @@
         return;
     }
     const auto announced = m_engine.workers().find(id);
-    if (announced != m_engine.workers().end() && announced->second->isAnnounced && announced->second->description == *worker)
+    if (announced != m_engine.workers().end() && announced->second->isAnnounced && jobs::isRenewalOf(*worker, announced->second->description)) {
+        m_engine.announceWorker(*worker, now);
         return;
-    utils::logEvent(utils::events::workerAnnounced, { { "worker", id }, { "version", std::to_string(value->version) }, { "life", std::to_string(worker->incarnation) }, { "draining", worker->isDraining ? "true" : "false" } });
+    }
+    const auto& capacity = worker->capacity;
+    utils::logEvent(utils::events::workerAnnounced, { { "worker", id }, { "version", std::to_string(value->version) }, { "life", std::to_string(worker->incarnation) }, { "draining", worker->isDraining ? "true" : "false" }, { "capacity", absl::StrCat(capacity.processors, ",", capacity.memory, ",", capacity.accelerators) } });
     m_runControl.setWorkerDataCentre(id, worker->dataCentre);
     m_engine.announceWorker(*worker, now);
     writeRoster();
--- a/src/tasks/coordinator/rules_codec.cpp
+++ b/src/tasks/coordinator/rules_codec.cpp
@@ -20,6 +20,7 @@
         message.set_target_latency_ms(queue.targetLatency.count());
         message.set_timeout_ms(queue.timeout.count());
         message.set_needs_advice(queue.needsExternalPlacement);
+        message.set_workers_reject_overload(queue.workersRejectOverload);
     }
     for (const auto& name : change.removed)
         target.add_removed(name);
@@ -30,7 +31,7 @@
     jobs::rules_change change { source.from_revision(), source.revision(), source.version(), source.body_limit(), {}, { source.removed().begin(), source.removed().end() } };
     for (const auto& message : source.changed()) {
         change.changed.push_back({ message.name(), message.host(), message.prefix(), message.service(), message.priority(), message.max_attempts(), message.slack_factor(),
-            utils::milliseconds(message.target_latency_ms()), utils::milliseconds(message.timeout_ms()), message.needs_advice() });
+            utils::milliseconds(message.target_latency_ms()), utils::milliseconds(message.timeout_ms()), message.needs_advice(), message.workers_reject_overload() });
     }
     return change;
 }
--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -53,7 +53,7 @@
 
 deployment_rules defaultRules()
 {
-    return { 1, { { "queue", "host", "/queue/", "service", 0, 3, 1.5, utils::milliseconds(400), utils::milliseconds(3000), false } } };
+    return { 1, { { "queue", "host", "/queue/", "service", 0, 3, 1.5, utils::milliseconds(400), utils::milliseconds(3000), false, true } } };
 }
 
 simulated_fleet::simulated_fleet(std::uint64_t seed)
@@ -88,9 +88,40 @@
     worker = fake_worker();
     worker.description = description;
     ++worker.description.incarnation;
+    if (!m_hasEntryRenewal)
+        m_engine->announceWorker(worker.description, m_now);
+}
+
+void simulated_fleet::setCapacity(const std::string& id, model::resources capacity)
+{
+    auto& worker = *m_workers.at(id);
+    worker.formerCapacities.emplace_back(m_now + formerCapacityTime, worker.description.capacity);
+    worker.description.capacity = capacity;
+}
+
+void simulated_fleet::enableEntryRenewal()
+{
+    m_hasEntryRenewal = true;
+    for (const auto& entry : m_workers)
+        renewEntry(entry.first);
+}
+
+void simulated_fleet::renewEntry(const std::string& id)
+{
+    auto& worker = *m_workers.at(id);
+    schedule(entryRenewalInterval, [this, id] { renewEntry(id); });
+    if (m_isStoreDown || worker.faults.cannotRenewEntry || worker.faults.isDown || m_removedWorkers.contains(id))
+        return;
+    worker.description.renewedAt = workerClock();
+    m_entries[id] = worker.description;
     m_engine->announceWorker(worker.description, m_now);
 }
 
+bool simulated_fleet::rejectsOverload() const
+{
+    return m_rules->queues.front().workersRejectOverload;
+}
+
 void simulated_fleet::makeDeadly(const external::task_id& task, utils::milliseconds delay)
 {
     m_deadlyTasks[task] = delay;
@@ -156,7 +187,7 @@
     m_engine->beginTerm(isPlanned ? ended : worker_roster { m_roster, 0, {} }, m_now);
     for (const auto& [id, worker] : m_workers) {
         if (!m_removedWorkers.contains(id))
-            m_engine->announceWorker(worker->description, m_now);
+            m_engine->announceWorker(m_hasEntryRenewal ? m_entries.at(id) : worker->description, m_now);
     }
 }
 
@@ -343,6 +374,17 @@
     return m_acknowledgedTasks.contains(task) || std::ranges::any_of(m_workers, isListed);
 }
 
+model::resources simulated_fleet::usageWith(const fake_worker& worker, const step_spec& added) const
+{
+    const auto usage = [](const step_spec& step) {
+        return step.isBestEffort ? model::resources { 0, step.taskResources.memory, 0 } : step.taskResources;
+    };
+    auto used = usage(added);
+    for (const auto& entry : worker.running)
+        used = used + usage(m_jobs.at(entry.first.job).steps[entry.first.step]);
+    return used;
+}
+
 void simulated_fleet::checkStart(const fake_worker& worker, const external::run_order& order)
 {
     const auto& task = order.run.task;
@@ -362,12 +404,9 @@
     }
     if (!step.isLongRunning && m_failureCounts[task] >= 3)
         m_violations.push_back(absl::StrCat(task.job, ".", task.step, ".", task.index, " started after its last attempt"));
-    model::resources used = step.isBestEffort ? model::resources { 0, step.taskResources.memory, 0 } : step.taskResources;
-    for (const auto& [other, run] : worker.running) {
-        const auto& otherStep = m_jobs.at(other.job).steps[other.step];
-        used = used + (otherStep.isBestEffort ? model::resources { 0, otherStep.taskResources.memory, 0 } : otherStep.taskResources);
-    }
-    if (!used.fitsIn(worker.description.capacity))
+    const auto used = usageWith(worker, step);
+    const bool fitsFormerCapacity = std::ranges::any_of(worker.formerCapacities, [&](const auto& former) { return m_now <= former.first && used.fitsIn(former.second); });
+    if (!used.fitsIn(worker.description.capacity) && !fitsFormerCapacity)
         m_violations.push_back(absl::StrCat(worker.description.id, " exceeds its capacity"));
     const auto siblingCount = std::ranges::count_if(worker.running, [&](const auto& entry) { return entry.first.job == task.job && entry.first.step == task.step; });
     if (step.maximumTasksPerWorker > 0 && siblingCount >= step.maximumTasksPerWorker)
@@ -387,6 +426,11 @@
         return { external::order_outcome::Accepted, workerClock() };
     if (worker.closed.contains(order.run.task) && order.run.number <= worker.closed.at(order.run.task))
         return { external::order_outcome::StaleRunNumber, workerClock() };
+    const bool hasShrunk = rejectsOverload() && !worker.formerCapacities.empty();
+    if (hasShrunk && !usageWith(worker, m_jobs.at(order.run.task.job).steps[order.run.task.step]).fitsIn(worker.description.capacity)) {
+        ++m_refusedStartCount;
+        return { external::order_outcome::InsufficientCapacity, workerClock() };
+    }
     checkStart(worker, order);
     if (const auto deadly = m_deadlyTasks.find(order.run.task); deadly != m_deadlyTasks.end()) {
         if (m_crashCounts[order.run.task] >= 3 && ++m_startsAfterThirdCrash[order.run.task] >= 3)
--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -26,6 +26,8 @@
     bool isDown = false;
     //! Another worker has its address.
     bool isReplaced = false;
+    //! It can't renew its directory entry.
+    bool cannotRenewEntry = false;
 };
 
 //! \brief How a worker returns that a task has crashed.
@@ -46,6 +48,8 @@
 
     worker_description description;
     worker_faults faults;
+    //! Capacities that it had before, with the time until which a start may still rely on them.
+    std::vector<std::pair<utils::time_point, model::resources>> formerCapacities;
     std::uint64_t fence = 0;
     utils::time_point leaseEnd;
     std::map<external::task_id, fake_run> running;
@@ -80,6 +84,15 @@
     fake_worker& addWorker(const std::string& id, model::resources capacity = { 32'000, 128'000, 0 });
     //! \brief Restarts the worker's process under the same id.
     void restartWorker(const std::string& id);
+    //! \brief Changes the capacity of a running worker. Its entry shows it with the next renewal.
+    void setCapacity(const std::string& id, model::resources capacity);
+    //! \brief Has the workers renew their directory entries regularly, and changes of them arrive only so.
+    void enableEntryRenewal();
+    //! \brief Number of starts that workers refused for lack of capacity.
+    unsigned refusedStartCount() const
+    {
+        return m_refusedStartCount;
+    }
     //! \brief Removes the worker and its directory entry permanently.
     void removeWorker(const std::string& id);
     void submit(const job_spec& job);
@@ -127,6 +140,9 @@
     }
 
     static constexpr utils::milliseconds taskTime { 400 };
+    static constexpr utils::milliseconds entryRenewalInterval { 1500 };
+    //! Time for which a start may rely on a capacity that has shrunk: the contact time and a renewal.
+    static constexpr utils::milliseconds formerCapacityTime { 5500 };
 
 private:
     struct event {
@@ -147,10 +163,14 @@
     external::order_reply apply(fake_worker& worker, const external::run_order& order);
     void observe(const observe_command& command);
     void endRuns(fake_worker& worker);
+    void renewEntry(const std::string& worker);
+    bool rejectsOverload() const;
     void crash(const std::string& worker, const external::task_id& task);
     void loseRuns(fake_worker& worker);
     void close(fake_worker& worker, const external::task_id& task, external::end_cause cause);
     bool isCompletionPreserved(const external::task_id& task) const;
+    //! \brief Resources of the worker's runs and of another one of the step \a added.
+    model::resources usageWith(const fake_worker& worker, const step_spec& added) const;
     void checkStart(const fake_worker& worker, const external::run_order& order);
     void storeProgress();
     //! \brief Compares the counts that the engine keeps for each step with its tasks.
@@ -171,6 +191,10 @@
     std::map<std::string, utils::time_point> m_cancelledAt;
     std::vector<std::string> m_roster;
     bool m_isStoreDown = false;
+    bool m_hasEntryRenewal = false;
+    //! The stored directory entries, if they are renewed.
+    std::map<std::string, worker_description> m_entries;
+    unsigned m_refusedStartCount = 0;
     std::map<external::task_id, unsigned> m_startCounts;
     std::set<external::task_id> m_doneTasks;
     //! Tasks whose completion the engine has acknowledged.
--- a/tests/auto/platform/tst_formats.cpp
+++ b/tests/auto/platform/tst_formats.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-const std::string minionEntry = R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":1},"Labels":["a","r1-3"],"born":7})";
+const std::string minionEntry = R"({"ClockMs":482113,"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":1},"Labels":["a","r1-3"],"born":7})";
 
 std::string replaceFirst(std::string text, const std::string& from, const std::string& to)
 {
@@ -24,7 +24,7 @@
 {
     const auto worker = parseMinion("i-1", minionEntry);
     ASSERT_TRUE(worker.ok());
-    const jobs::worker_description expected { "i-1", "10.0.0.1:80", "s", "z", "r1-3", { "a", "r1-3" }, { 16'000, 32'768, 1 }, false, utils::milliseconds(0), 7 };
+    const jobs::worker_description expected { "i-1", "10.0.0.1:80", "s", "z", "r1-3", { "a", "r1-3" }, { 16'000, 32'768, 1 }, false, utils::milliseconds(0), 7, 482'113 };
     EXPECT_EQ(*worker, expected);
 }
 
@@ -82,6 +82,20 @@
     EXPECT_FALSE(parseConfiguration("{}").ok());
 }
 
+// A service that isn't listed, or doesn't say so, is assumed to start whatever it is ordered to.
+TEST(Configuration, ServiceWithoutOverloadProtectionIsTakenForProtected)
+{
+    const auto rules = parseConfiguration(R"({"Version":7,"Routes":[
+        {"Name":"a","Host":"h","Prefix":"/a/","Service":"guarded"},{"Name":"b","Host":"h","Prefix":"/b/","Service":"open"},
+        {"Name":"c","Host":"h","Prefix":"/c/","Service":"silent"},{"Name":"d","Host":"h","Prefix":"/d/","Service":"unlisted"}],
+        "Services":[{"Name":"guarded","RejectsOverload":true},{"Name":"open","RejectsOverload":false},{"Name":"silent"}]})");
+    ASSERT_TRUE(rules.ok());
+    const jobs::rules_index index(std::make_shared<jobs::deployment_rules>(*rules));
+    EXPECT_TRUE(index.rejectsOverload("guarded"));
+    for (const char* service : { "open", "silent", "unlisted", "unknown" })
+        EXPECT_FALSE(index.rejectsOverload(service)) << service;
+}
+
 TEST(TaskName, ParsesWhatWasFormatted)
 {
     const external::task_id task { "5c0e7a21d94b36f8", 0, 1, 17 };
--- a/tests/auto/tasks/tst_rules_follower.cpp
+++ b/tests/auto/tasks/tst_rules_follower.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "tasks/coordinator/rules_codec.h"
 #include "tasks/coordinator/rules_follower.h"
 #include "tasks/memory_store.h"
 
@@ -222,3 +223,12 @@
     EXPECT_EQ(versionOf(m_leader), 2u);
     EXPECT_EQ(m_updateCount, updatesBefore);
 }
+
+TEST(RulesChange, FieldIsLostBetweenDaemons)
+{
+    jobs::queue_rules queue { "queue", "host", "/prefix/", "service", 2, 3, 1.5, utils::milliseconds(400), utils::milliseconds(3000), true, true };
+    const jobs::rules_change change { 3, 5, 7, 9, { queue }, { "removed" } };
+    protocol::RulesUpdate message;
+    writeRulesChange(change, message);
+    EXPECT_EQ(readRulesChange(message), change);
+}
