Jobs: Offer no tasks to a worker for a while that refused one for lack of capacity

Cause: only the task waited, for 150 ms. The worker that had refused it seemed empty and was the best choice for this and all other tasks.

Change: the worker gets no tasks for 0.5 s, or until its entry changes or it restarts; the task goes elsewhere at once.

Evidence: TasksAreOfferedAgainToWorkersThatRefusedThem, two of four workers shrunk for 6 s, 240 tasks: 620 refused starts before, against a bound of 96 (each worker's share of the tasks of one decision, twice a second).

--- a/src/libs/jobs/engine_settings.h
+++ b/src/libs/jobs/engine_settings.h
@@ -42,6 +42,8 @@
     //! Longest age of the directory entry by which a task is started on a worker that doesn't reject overload. Its capacity
     //! may have shrunk since.
     utils::milliseconds maximumCapacityAge { 3600 };
+    //! How long a worker gets no tasks after it refused one for lack of capacity, unless its directory entry changes.
+    utils::milliseconds refusedCapacityDelay { 500 };
     //! How many run numbers each leader term reserves for a task.
     std::uint64_t runNumbersPerTerm = 1000;
 
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -61,6 +61,7 @@
     known.description = worker;
     known.description.incarnation = incarnation;
     known.announcedAt = isCurrent ? now : utils::time_point();
+    known.capacityRefusedUntil = {};
     known.rejectsOverload = m_rules.rejectsOverload(worker.service);
     queueForOrders(known);
 }
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -32,6 +32,7 @@
     worker.description.incarnation = incarnation;
     // The new process may have another capacity.
     worker.announcedAt = {};
+    worker.capacityRefusedUntil = {};
     worker.clock = 0;
     worker.acknowledgedEnd = 0;
     worker.lastEnd = 0;
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -13,9 +13,6 @@
     constexpr utils::milliseconds failureRestartDelay { 20 };
     // Number of closed runs that are recorded for a task. Speculative copies and moves create only a few.
     constexpr std::size_t maximumClosedRuns = 8;
-    // Delay after a worker rejected a start for lack of capacity. Its free capacity differs from the engine's
-    // accounting while a run is ending.
-    constexpr utils::milliseconds insufficientCapacityDelay { 150 };
     // Weight of a new run in the mean ratio of duration to estimate.
     constexpr double durationRatioWeight = 0.1;
 
@@ -281,7 +278,7 @@
         m_onEvent({ engine_event_kind::Deposed, "", "", workerId, absl::StrCat("term=", m_term) });
         return;
     case external::order_outcome::InsufficientCapacity:
-        taskOf(*run).notBefore = now + insufficientCapacityDelay;
+        worker.capacityRefusedUntil = now + m_settings.refusedCapacityDelay;
         worker.needsProbe = true;
         closeRun(*run, now);
         return;
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -167,6 +167,8 @@
     utils::time_point announcedAt;
     //! It rejects tasks that exceed its capacity; any other worker starts whatever it is ordered to.
     bool rejectsOverload = false;
+    //! Until when it gets no tasks because it refused one for lack of capacity.
+    utils::time_point capacityRefusedUntil;
     //! The stored roster lists it, so that the next leader queries its runs.
     bool isOnRoster = false;
     //! When its directory entry disappeared.
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -45,7 +45,7 @@
 bool isOpenForTasks(const worker_state& worker, const engine_settings& settings, utils::time_point now)
 {
     const bool isListed = worker.isAnnounced || now < worker.withdrawnAt + settings.withdrawalGracePeriod;
-    const bool isCapacityKnown = worker.rejectsOverload || now <= capacityKnownAt(worker) + settings.maximumCapacityAge;
+    const bool isCapacityKnown = now >= worker.capacityRefusedUntil && (worker.rejectsOverload || now <= capacityKnownAt(worker) + settings.maximumCapacityAge);
     return isListed && isCapacityKnown && worker.hasAcceptedTerm && !worker.description.isDraining && worker.unansweredObserves == 0 && worker.suspectRun == nullptr && !worker.reliability.isSuspended(now);
 }
 
--- a/tests/auto/jobs/tst_changing_capacities.cpp
+++ b/tests/auto/jobs/tst_changing_capacities.cpp
@@ -146,3 +146,29 @@
     EXPECT_EQ(fleet.phase("job"), job_phase::Completed);
     EXPECT_EQ(fleet.violations(), std::vector<std::string>());
 }
+
+// The workers of one half have lost most of their capacity and can't tell; the other half has room for all tasks. Each task that
+// is refused is late by a round trip and a delay.
+TEST(ChangingCapacities, TasksAreOfferedAgainToWorkersThatRefusedThem)
+{
+    constexpr utils::milliseconds duration { 6000 };
+    simulated_fleet fleet;
+    prepare(fleet, true);
+    for (unsigned number = 0; number < workerCount / 2; ++number) {
+        fleet.worker(workerName(number)).faults.cannotRenewEntry = true;
+        fleet.setCapacity(workerName(number), { 1'000, 128'000, 0 });
+    }
+    unsigned jobCount = 0;
+    const auto end = fleet.now() + duration;
+    while (fleet.now() < end) {
+        fleet.submit(makeJob(absl::StrCat("job", jobCount++), { batchStep(8) }));
+        fleet.run(utils::milliseconds(200));
+    }
+    // One start for each worker and half a second, and those that were sent together.
+    const auto refusals = static_cast<unsigned>(duration / utils::milliseconds(500)) * workerCount / 2;
+    EXPECT_LE(fleet.refusedStartCount(), refusals * 4);
+    for (unsigned number = 0; number < workerCount; ++number)
+        fleet.worker(workerName(number)).faults.cannotRenewEntry = false;
+    EXPECT_TRUE(fleet.runUntil([&] { return fleet.phase(absl::StrCat("job", jobCount - 1)) == job_phase::Completed; }, utils::milliseconds(2000)));
+    EXPECT_EQ(fleet.violations(), std::vector<std::string>());
+}
