Jobs: Count crashes after starts that were never confirmed

What callers would have seen: with the replies to start orders lost, one task crashes worker after worker, as before.

Cause: a crash was counted only if the start had been confirmed, since a start that was sent to a worker that just crashed may not have been executed. Nor was it stored that such a task is suspected.

Change: these crashes are counted apart and stored; the job fails when both counts together reach four (if no other run can have caused the last crash) or five, before the third start after three crashes. A start that the worker refused (not sent, another process, no capacity, lease end passed) is no longer held against the task.

--- a/src/libs/jobs/crash_suspicion.cpp
+++ b/src/libs/jobs/crash_suspicion.cpp
@@ -35,7 +35,7 @@
 
 bool isCrashSuspect(const task_state& task)
 {
-    return task.crashCount > 0 || task.isSuspected || !task.possibleCrashes.empty();
+    return task.crashCount > 0 || task.unconfirmedCrashCount > 0 || !task.possibleCrashes.empty();
 }
 
 } // namespace camphorsaddle::jobs
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "jobs/crash_suspicion.h"
 
 namespace camphorsaddle::jobs {
 
@@ -117,6 +118,7 @@
         task.isDone = stored.isDone;
         task.failedRuns = stored.failedRuns;
         task.crashCount = stored.crashCount;
+        task.unconfirmedCrashCount = stored.unconfirmedCrashCount;
         task.possibleCrashes = stored.possibleCrashes;
         task.checkpoint = stored.checkpoint;
         task.lastRun = std::max(task.lastRun, stored.lastRun);
@@ -277,10 +279,10 @@
         const auto& tasks = job.steps[number].tasks;
         for (unsigned index = 0; index < tasks.size(); ++index) {
             const auto& task = tasks[index];
-            if (!task.isDone && task.failedRuns.empty() && task.crashCount == 0 && task.possibleCrashes.empty())
+            if (!task.isDone && task.failedRuns.empty() && !isCrashSuspect(task))
                 continue;
             // A completed task needs no checkpoint.
-            progress.tasks.push_back({ number, index, task.isDone, task.failedRuns, task.lastRun, task.isDone ? std::string() : task.checkpoint, task.crashCount, task.possibleCrashes });
+            progress.tasks.push_back({ number, index, task.isDone, task.failedRuns, task.lastRun, task.isDone ? std::string() : task.checkpoint, task.crashCount, task.unconfirmedCrashCount, task.possibleCrashes });
         }
     }
     return progress;
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -124,6 +124,8 @@
     // Runs.
     run_state& openRun(job_state& job, unsigned step, unsigned index, worker_state& worker, std::uint64_t number, utils::time_point now);
     void closeRun(run_state& run, utils::time_point now);
+    //! \brief Closes a run whose start the worker has certainly not executed.
+    void closeRefusedRun(run_state& run, utils::time_point now);
     void stopRun(run_state& run, utils::time_point now, const std::string& reason);
     run_state* findRun(worker_state& worker, const external::run_id& id);
     task_state* findTask(const external::run_id& id, job_state** job);
--- a/src/libs/jobs/job_engine_crashes.cpp
+++ b/src/libs/jobs/job_engine_crashes.cpp
@@ -12,9 +12,19 @@
     // Crashes of a task's workers after which its job fails: fewer if no other run can have caused the last one.
     constexpr unsigned maximumCrashesInIsolation = 2;
     constexpr unsigned maximumCrashes = 3;
+    // The same for all crashes, if some starts were never confirmed: one of these may not have been executed.
+    constexpr unsigned maximumPossibleCrashesInIsolation = 4;
+    constexpr unsigned maximumPossibleCrashes = 5;
     // Interval between searches for a worker on which a suspected task is isolated.
     constexpr utils::milliseconds isolationSearchInterval { 50 };
 
+    //! \brief Whether a task is to be given up after a crash; \a isIsolated if no other run can have caused it.
+    bool hasCrashedTooOften(const task_state& task, bool isIsolated)
+    {
+        const auto possibleCrashes = task.crashCount + task.unconfirmedCrashCount;
+        return task.crashCount >= (isIsolated ? maximumCrashesInIsolation : maximumCrashes) || possibleCrashes >= (isIsolated ? maximumPossibleCrashesInIsolation : maximumPossibleCrashes);
+    }
+
 } // namespace
 
 void job_engine::recordPossibleCrash(worker_state& worker)
@@ -45,12 +55,12 @@
         if (task->isDone || isFinal(job->phase))
             continue;
         markChanged(*job);
-        task->isSuspected = task->isSuspected || hasCrashed;
-        task->crashCount += hasCrashed && resolved.isConfirmed ? 1 : 0;
+        if (hasCrashed)
+            ++(resolved.isConfirmed ? task->crashCount : task->unconfirmedCrashCount);
         m_onEvent({ engine_event_kind::TaskSuspected, id.job, absl::StrCat(id.step, ".", id.index, "/", resolved.run), worker.description.id,
-            absl::StrCat(hasCrashed ? "its worker has crashed" : "its worker has not crashed", ", crashes=", task->crashCount, " isolated=", resolved.isIsolated ? "true" : "false") });
-        if (hasCrashed && resolved.isConfirmed && (task->crashCount >= maximumCrashes || (resolved.isIsolated && task->crashCount >= maximumCrashesInIsolation)))
-            endJob(*job, job_phase::Failed, now, absl::StrCat("task ", id.step, ".", id.index, " crashed ", task->crashCount, " workers"));
+            absl::StrCat(hasCrashed ? "its worker has crashed" : "its worker has not crashed", ", crashes=", task->crashCount, " unconfirmed=", task->unconfirmedCrashCount, " isolated=", resolved.isIsolated ? "true" : "false") });
+        if (hasCrashed && hasCrashedTooOften(*task, resolved.isIsolated))
+            endJob(*job, job_phase::Failed, now, absl::StrCat("task ", id.step, ".", id.index, " crashed ", task->crashCount + task->unconfirmedCrashCount, " workers"));
     }
 }
 
@@ -77,7 +87,7 @@
     for (const auto& id : worker.suspectedTasks) {
         job_state* job = nullptr;
         auto* task = findTask({ id, 0 }, &job);
-        if (task != nullptr && task->crashCount + task->possibleCrashes.size() >= maximumCrashesInIsolation)
+        if (task != nullptr && task->crashCount + task->unconfirmedCrashCount + task->possibleCrashes.size() >= maximumCrashesInIsolation)
             task->notBefore = now + m_settings.crashResolutionTime;
     }
 }
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -83,6 +83,14 @@
         --step.busyCount;
 }
 
+void job_engine::closeRefusedRun(run_state& run, utils::time_point now)
+{
+    // A worker that hasn't executed the start can't have crashed because of it.
+    if (std::erase_if(taskOf(run).possibleCrashes, [&](const possible_crash& crash) { return crash.run == run.number; }) > 0)
+        markChanged(*run.job);
+    closeRun(run, now);
+}
+
 void job_engine::stopRun(run_state& run, utils::time_point now, const std::string& reason)
 {
     if (run.phase == run_phase::Stopping)
@@ -280,21 +288,20 @@
     case external::order_outcome::InsufficientCapacity:
         worker.capacityRefusedUntil = now + m_settings.refusedCapacityDelay;
         worker.needsProbe = true;
-        closeRun(*run, now);
+        closeRefusedRun(*run, now);
         return;
     case external::order_outcome::Unhealthy:
     case external::order_outcome::NotSent:
     case external::order_outcome::Malformed:
         worker.reliability.recordRefusal(now);
-        closeRun(*run, now);
+        closeRefusedRun(*run, now);
         return;
     case external::order_outcome::LeaseEndPassed:
         worker.needsProbe = true;
-        closeRun(*run, now);
+        closeRefusedRun(*run, now);
         return;
     case external::order_outcome::OtherIncarnation:
-        // This order has not been executed.
-        closeRun(*run, now);
+        closeRefusedRun(*run, now);
         closeRunsAsLost(worker, worker_loss::Replaced, now, "another worker answers at its address");
         worker.hasAcceptedTerm = false;
         return;
--- a/src/libs/jobs/job_record.h
+++ b/src/libs/jobs/job_record.h
@@ -40,6 +40,8 @@
     std::string checkpoint;
     //! Workers that crashed while a run of the task was suspected of it.
     unsigned crashCount = 0;
+    //! Workers that crashed while they had a start of the task which they may have executed.
+    unsigned unconfirmedCrashCount = 0;
     std::vector<possible_crash> possibleCrashes;
 
     auto operator<=>(const task_progress&) const = default;
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -84,8 +84,8 @@
     unsigned crashCount = 0;
     //! Suspected runs on workers that became unresponsive and may have crashed.
     std::vector<possible_crash> possibleCrashes;
-    //! A worker crashed to which a start of the task had been sent, which it may have executed.
-    bool isSuspected = false;
+    //! Number of workers that crashed while they had a start of the task which they may have executed.
+    unsigned unconfirmedCrashCount = 0;
     //! Since when a suspected task has been looking for a worker without recent starts.
     utils::time_point isolationSoughtSince;
     std::uint64_t lastRun = 0;
--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -150,7 +150,9 @@
     worker.faults.isDown = true;
     schedule(m_crashReturn.delay, [this, id] {
         if (!m_crashReturn.hasNewId) {
+            const bool losesStartReplies = m_workers.at(id)->faults.losesStartReplies;
             restartWorker(id);
+            m_workers.at(id)->faults.losesStartReplies = losesStartReplies;
             return;
         }
         auto& former = *m_workers.at(id);
@@ -481,7 +483,7 @@
             return;
         }
         const auto reply = apply(worker, command.order);
-        if (!worker.faults.losesReplies)
+        if (!worker.faults.losesReplies && !worker.faults.losesStartReplies)
             schedule(orderDelay, [answer, reply] { answer(reply); });
         else
             schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -17,6 +17,8 @@
     bool isUnresponsive = false;
     //! Executes orders, but its replies are lost.
     bool losesReplies = false;
+    //! Executes start orders, but its replies to them are lost.
+    bool losesStartReplies = false;
     //! Half of the start orders take effect after this delay and get no reply.
     utils::milliseconds startDelay { 0 };
     bool failsAll = false;
--- a/tests/auto/jobs/tst_crashing_tasks.cpp
+++ b/tests/auto/jobs/tst_crashing_tasks.cpp
@@ -65,6 +65,10 @@
                         fleet.run(utils::milliseconds(9000));
                         fleet.worker("w0").faults.isUnresponsive = false;
                     } },
+        crash_case { "lostStartReplies", {}, [] { return std::vector { batchStep(4) }; }, [](simulated_fleet& fleet) {
+                        for (unsigned number = 0; number < workerCount; ++number)
+                            fleet.worker(absl::StrCat("w", number)).faults.losesStartReplies = true;
+                    } },
         crash_case { "lateOrders", {}, [] { return std::vector { batchStep(4) }; }, [](simulated_fleet& fleet) {
                         for (const char* id : { "w0", "w1", "w2" })
                             fleet.worker(id).faults.startDelay = utils::milliseconds(2500);
@@ -121,7 +125,7 @@
 
 TEST(CrashingTasks, StoredCrashesAreLost)
 {
-    const job_progress progress { job_phase::Running, { { 1, 2, false, { 4 }, 7, "checkpoint", 1, { { 7, "w1", "address:1", 12, true, true }, { 8, "w2", "address:2", 13, false, false } } } } };
+    const job_progress progress { job_phase::Running, { { 1, 2, false, { 4 }, 7, "checkpoint", 1, 2, { { 7, "w1", "address:1", 12, true, true }, { 8, "w2", "address:2", 13, false, false } } } } };
     const auto parsed = parseProgress(encodeProgress(progress));
     ASSERT_TRUE(parsed.ok());
     EXPECT_EQ(*parsed, progress);
@@ -187,6 +191,37 @@
     EXPECT_EQ(fleet.violations(), std::vector<std::string>());
 }
 
+// The worker crashes before each start order arrives, and the leader learns of the crash first.
+TEST(CrashingTasks, RefusedStartCountsAsCrash)
+{
+    job_engine engine(engine_settings {}, 1, [](const engine_event&) {});
+    engine.setRules(std::make_shared<deployment_rules>(defaultRules()));
+    auto now = utils::time_point() + std::chrono::hours(1);
+    engine.beginTerm({}, now);
+    worker_description worker { "w0", "address:1", "service", "dc", "rack", {}, { 32'000, 128'000, 0 }, false, utils::milliseconds(0), 1 };
+    engine.announceWorker(worker, now);
+    engine.markRosterStored({ "w0" });
+    engine.add(makeJob("job", { batchStep(1) }), now);
+    unsigned refusedStarts = 0;
+    for (unsigned round = 0; round < 1000 && refusedStarts < 8; ++round) {
+        now += utils::milliseconds(50);
+        for (const auto& command : engine.decideCommands(now)) {
+            if (const auto* observe = std::get_if<observe_command>(&command))
+                engine.handleObserveReply("w0", *observe, { external::order_outcome::Accepted, { 1, worker.incarnation, {}, {} } }, now, now);
+            const auto* start = std::get_if<start_command>(&command);
+            if (start == nullptr)
+                continue;
+            ++refusedStarts;
+            engine.handleObserveReply("w0", { start->worker, {}, false }, { external::order_outcome::NotSent, {} }, now, now);
+            engine.handleStartReply("w0", start->order.run, { external::order_outcome::NotSent, 0 }, now, now);
+            ++worker.incarnation;
+            engine.announceWorker(worker, now);
+        }
+    }
+    EXPECT_EQ(refusedStarts, 8u);
+    EXPECT_EQ(engine.phase("job"), job_phase::Queued);
+}
+
 class crashing_tasks_under_mixed_faults : public testing::TestWithParam<std::uint64_t> {
 };
 
