--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-    constexpr utils::milliseconds millisecondsBetween(utils::time_point from, utils::time_point to)
-    {
-        return std::chrono::duration_cast<utils::milliseconds>(to - from);
-    }
-
     constexpr utils::milliseconds reviewInterval { 50 };
     // Runs are judged by reports, which are half a second apart.
     constexpr utils::milliseconds stallReviewInterval { 200 };
@@ -34,30 +29,6 @@
     // Latency headroom that a best-effort task must leave to the service tasks beside it.
     constexpr double strictHeadroom = 1.1;
     constexpr double relaxedHeadroom = 0.7;
-    // A run is stalled if its estimated remaining time exceeds this multiple of the duration of its sibling tasks, or
-    // of the estimate if no sibling is known.
-    constexpr double stalledFactor = 1.6;
-    constexpr double stalledFactorWithoutSiblings = 4.0;
-    // A report may be as old as a long poll, and a restart takes the time to restore a checkpoint.
-    constexpr utils::milliseconds stalledMargin { 700 };
-    // Longer than best-effort runs usually pause while other tasks use all processors.
-    constexpr utils::milliseconds bestEffortStallTimeout { 3500 };
-    // A best-effort run that has been paced down to this percentage is moved to another worker, unless too much of its
-    // work would be lost.
-    constexpr int crawlingPacePercent = 25;
-    constexpr utils::milliseconds crawlingTimeout { 900 };
-    // A search evaluates all workers, whose state changes only with their reports, half a second apart.
-    constexpr utils::milliseconds workerSearchInterval { 250 };
-    // A run without checkpoints is moved only below this progress.
-    constexpr int restartPercentLimit = 30;
-    constexpr utils::milliseconds leftWorkerAvoidanceTime { 4000 };
-    // A long-running task must serve within this time after its start.
-    constexpr utils::milliseconds longRunningStartTimeout { 2500 };
-    // Minimum number of running siblings, and of their progress in percent, for a comparison.
-    constexpr std::size_t minimumSiblings = 2;
-    constexpr int minimumSiblingPercent = 10;
-    // A task that stalled on this many workers is probably just longer than its siblings.
-    constexpr std::size_t maximumMoves = 3;
 
 } // namespace
 
@@ -141,102 +112,6 @@
     }
 }
 
-void job_engine::handleStalledRuns(utils::time_point now)
-{
-    for (auto* job : m_activeJobs) {
-        for (unsigned number = 0; number < job->steps.size(); ++number) {
-            auto& step = job->steps[number];
-            if (!step.isReady || step.doneCount == step.tasks.size())
-                continue;
-            for (auto& task : step.tasks) {
-                if (task.runs.size() != 1 || task.runs.front()->phase != run_phase::Running || task.avoidedWorkers.size() >= maximumMoves)
-                    continue;
-                auto& run = *task.runs.front();
-                const auto& spec = job->spec.steps[number];
-                const auto reason = spec.isLongRunning ? longRunningFailureReason(run, now) : spec.isBestEffort ? bestEffortStallReason(run, task, now)
-                                                                                                                : batchStallReason(run, now);
-                if (!reason)
-                    continue;
-                task.avoidedWorkers.push_back(run.worker->description.id);
-                run.worker->reliability.recordStall(now);
-                if (!spec.speculative || spec.isLongRunning)
-                    stopRun(run, now, *reason);
-            }
-        }
-    }
-}
-
-std::optional<std::string> job_engine::longRunningFailureReason(const run_state& run, utils::time_point now) const
-{
-    const auto since = run.runningSince + longRunningStartTimeout;
-    if (run.percent == 100 || now < since || run.worker->answeredAt < since)
-        return std::nullopt;
-    return "it did not start serving in time";
-}
-
-std::optional<std::string> job_engine::bestEffortStallReason(run_state& run, task_state& task, utils::time_point now)
-{
-    const auto& spec = run.job->spec.steps[run.step];
-    const bool mayMove = spec.hasCheckpoints || run.percent < restartPercentLimit;
-    const bool isCrawling = run.pace <= crawlingPacePercent && now - run.paceChangedAt > crawlingTimeout;
-    if (isCrawling && mayMove && now >= run.workerSearchedAt + workerSearchInterval) {
-        run.workerSearchedAt = now;
-        if (hasBetterWorker(*run.job, run.step, task, now)) {
-            // The worker isn't at fault, but its service tasks would slow the run down again.
-            task.leftWorker = run.worker;
-            task.leftWorkerAvoidedUntil = now + leftWorkerAvoidanceTime;
-            stopRun(run, now, absl::StrCat("it is limited to pace ", run.pace, " at ", run.percent, "% progress"));
-            return std::nullopt;
-        }
-    }
-    const bool isStalled = run.pace > 0 && now - run.percentChangedAt > bestEffortStallTimeout && run.worker->answeredAt > run.percentChangedAt + bestEffortStallTimeout / 2;
-    return isStalled ? std::optional(absl::StrCat("it makes no progress at ", run.percent, "%")) : std::nullopt;
-}
-
-// Compares a run with completed or running tasks of the same step, because callers' estimates are off by up to ten
-// times.
-std::optional<std::string> job_engine::batchStallReason(const run_state& run, utils::time_point now) const
-{
-    if (now < run.runningSince + stalledMargin)
-        return std::nullopt;
-    const auto& step = run.job->steps[run.step];
-    const auto siblings = siblingDuration(run);
-    const double expected = siblings.value_or(static_cast<double>(expectedDuration(*run.job, run.step).count()));
-    const double factor = siblings || step.durationCount > 0 ? stalledFactor : stalledFactorWithoutSiblings;
-    const auto elapsed = millisecondsBetween(run.runningSince, now);
-    if (static_cast<double>(elapsed.count()) < expected * 0.5 + static_cast<double>(stalledMargin.count()))
-        return std::nullopt;
-    const int gained = run.percent - std::max(run.initialPercent, 0);
-    const auto observedFor = static_cast<double>(millisecondsBetween(run.runningSince, run.worker->answeredAt).count());
-    // The progress is that of the worker's last answer.
-    const double sinceReport = static_cast<double>(millisecondsBetween(run.worker->answeredAt, now).count());
-    const double remainingDuration = gained > 0 ? observedFor * (100 - run.percent) / gained - sinceReport : expected * factor + static_cast<double>(elapsed.count());
-    if (remainingDuration < expected * factor + static_cast<double>(stalledMargin.count()))
-        return std::nullopt;
-    return absl::StrCat("it is stalled at ", run.percent, "% after ", elapsed.count(), " ms; expected duration in ms: ", static_cast<int>(expected));
-}
-
-std::optional<double> job_engine::siblingDuration(const run_state& run) const
-{
-    const auto& step = run.job->steps[run.step];
-    if (step.durationCount > 0)
-        return step.durationSum / step.durationCount;
-    std::vector<double> durations;
-    for (const auto& task : step.tasks) {
-        for (const auto& other : task.runs) {
-            const int gained = other->percent - std::max(other->initialPercent, 0);
-            if (other->worker == run.worker || other->phase != run_phase::Running || gained < minimumSiblingPercent)
-                continue;
-            durations.push_back(static_cast<double>(millisecondsBetween(other->runningSince, other->worker->answeredAt).count()) * 100 / gained);
-        }
-    }
-    if (durations.size() < minimumSiblings)
-        return std::nullopt;
-    const auto median = durations.begin() + static_cast<std::ptrdiff_t>(durations.size() / 2);
-    std::ranges::nth_element(durations, median);
-    return *median;
-}
-
 std::vector<job_engine::waiting_step> job_engine::waitingSteps(utils::time_point now) const
 {
     std::vector<waiting_step> result;
--- /dev/null
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -0,0 +1,256 @@
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "jobs/simulated_fleet.h"
+#include "utils/overloaded.h"
+
+namespace camphorsaddle::jobs::test {
+
+namespace {
+
+    constexpr utils::milliseconds orderDelay { 2 };
+    constexpr utils::milliseconds callTimeout { 500 };
+    constexpr utils::milliseconds longestLease { 10'000 };
+
+} // namespace
+
+void simulated_fleet::close(fake_worker& worker, const external::task_id& task, external::end_cause cause)
+{
+    const auto run = worker.running.at(task).run;
+    worker.running.erase(task);
+    worker.closed[task] = run.number;
+    worker.ended.push_back({ worker.nextEnd++, run, cause, cause == external::end_cause::Stopped ? "checkpoint" : "" });
+    if (cause == external::end_cause::Done)
+        m_doneTasks.insert(task);
+    if (cause == external::end_cause::Failed)
+        ++m_failureCounts[task];
+}
+
+void simulated_fleet::endRuns(fake_worker& worker)
+{
+    if (m_now >= worker.leaseEnd)
+        worker.lastEndBeforeLapse = worker.nextEnd - 1;
+    std::vector<std::pair<external::task_id, external::end_cause>> ending;
+    for (const auto& [task, run] : worker.running) {
+        if (m_now >= worker.leaseEnd)
+            ending.emplace_back(task, external::end_cause::LeaseExpired);
+        else if (!run.isLongRunning && m_now >= run.endsAt && !worker.faults.hangs)
+            ending.emplace_back(task, worker.faults.failsAll ? external::end_cause::Failed : external::end_cause::Done);
+    }
+    for (const auto& [task, cause] : ending)
+        close(worker, task, cause);
+    for (const auto& cancelled : m_cancelledAt) {
+        const auto& id = cancelled.first;
+        const bool isRunning = std::ranges::any_of(worker.running, [&](const auto& entry) { return entry.first.job == id; });
+        if (isRunning && !worker.faults.isUnresponsive && m_now > cancelled.second + std::chrono::seconds(12))
+            m_violations.push_back(absl::StrCat("a task of ", id, " still runs after its cancellation"));
+    }
+}
+
+void simulated_fleet::execute(const engine_command& command)
+{
+    const auto term = m_term;
+    std::visit(utils::overloaded {
+                   [&](const start_command& order) { start(order); },
+                   [&](const stop_command& order) {
+                       auto& worker = *m_workers.at(order.worker.id);
+                       if (worker.faults.isUnresponsive || worker.faults.isDown || worker.faults.isReplaced) {
+                           schedule(callTimeout, [this, order, term] {
+                               if (term == m_term)
+                                   m_engine->handleStopReply(order.worker.id, order.run, { external::order_outcome::NoAnswer, 0 }, m_now);
+                           });
+                           return;
+                       }
+                       schedule(orderDelay, [this, order, term, &worker] {
+                           auto outcome = external::order_outcome::Accepted;
+                           if (term < worker.fence)
+                               outcome = external::order_outcome::Fenced;
+                           else if (worker.running.contains(order.run.task) && worker.running.at(order.run.task).run == order.run)
+                               close(worker, order.run.task, external::end_cause::Stopped);
+                           else
+                               worker.closed[order.run.task] = std::max(worker.closed[order.run.task], order.run.number);
+                           worker.fence = std::max(worker.fence, term);
+                           if (term == m_term)
+                               m_engine->handleStopReply(order.worker.id, order.run, { outcome, workerClock() }, m_now);
+                       });
+                   },
+                   [&](const pace_command& order) {
+                       schedule(orderDelay, [this, order, term] {
+                           auto& worker = *m_workers.at(order.worker.id);
+                           if (const auto found = worker.running.find(order.run.task); found != worker.running.end())
+                               found->second.pace = order.percent;
+                           if (term == m_term)
+                               m_engine->handlePaceReply(order.worker.id, order.run, order.percent, { external::order_outcome::Accepted, workerClock() }, m_now);
+                       });
+                   },
+                   [&](const observe_command& order) { observe(order); },
+               },
+        command);
+}
+
+// A completion is preserved if the engine acknowledged it or a worker with a valid lease still reports it.
+bool simulated_fleet::isCompletionPreserved(const external::task_id& task) const
+{
+    const auto isListed = [&](const auto& entry) {
+        return m_now < entry.second->leaseEnd && std::ranges::any_of(entry.second->ended, [&](const auto& end) { return end.run.task == task && end.cause == external::end_cause::Done; });
+    };
+    return m_acknowledgedTasks.contains(task) || std::ranges::any_of(m_workers, isListed);
+}
+
+model::resources simulated_fleet::usageWith(const fake_worker& worker, const step_spec& added) const
+{
+    const auto usage = [](const step_spec& step) {
+        return step.isBestEffort ? model::resources { 0, step.taskResources.memory, 0 } : step.taskResources;
+    };
+    auto used = usage(added);
+    for (const auto& entry : worker.running)
+        used = used + usage(m_jobs.at(entry.first.job).steps[entry.first.step]);
+    return used;
+}
+
+void simulated_fleet::checkStart(const fake_worker& worker, const external::run_order& order)
+{
+    const auto& task = order.run.task;
+    const auto& job = m_jobs.at(task.job);
+    const auto& step = job.steps[task.step];
+    if (isCompletionPreserved(task) && !step.speculative)
+        m_violations.push_back(absl::StrCat(task.job, ".", task.step, ".", task.index, " started after it was done"));
+    for (const auto& [id, other] : m_workers) {
+        if (!step.speculative && other->running.contains(task))
+            m_violations.push_back(absl::StrCat(task.job, ".", task.step, ".", task.index, " runs on ", id, " and ", worker.description.id));
+    }
+    for (const unsigned before : step.after) {
+        for (unsigned index = 0; index < job.steps[before].count; ++index) {
+            if (!m_doneTasks.contains({ task.job, 0, before, index }))
+                m_violations.push_back(absl::StrCat(task.job, ".", task.step, " started before step ", before, " was done"));
+        }
+    }
+    if (!step.isLongRunning && m_failureCounts[task] >= 3)
+        m_violations.push_back(absl::StrCat(task.job, ".", task.step, ".", task.index, " started after its last attempt"));
+    const auto used = usageWith(worker, step);
+    const bool fitsFormerCapacity = std::ranges::any_of(worker.formerCapacities, [&](const auto& former) { return m_now <= former.first && used.fitsIn(former.second); });
+    if (!used.fitsIn(worker.description.capacity) && !fitsFormerCapacity)
+        m_violations.push_back(absl::StrCat(worker.description.id, " exceeds its capacity"));
+    const auto siblingCount = std::ranges::count_if(worker.running, [&](const auto& entry) { return entry.first.job == task.job && entry.first.step == task.step; });
+    if (step.maximumTasksPerWorker > 0 && siblingCount >= step.maximumTasksPerWorker)
+        m_violations.push_back(absl::StrCat(worker.description.id, " runs too many tasks of ", task.job));
+}
+
+external::order_reply simulated_fleet::apply(fake_worker& worker, const external::run_order& order)
+{
+    if (order.fence < worker.fence)
+        return { external::order_outcome::Fenced, workerClock() };
+    worker.fence = order.fence;
+    const auto end = std::min(utils::time_point() + utils::milliseconds(order.leaseEnd), m_now + longestLease);
+    if (end <= m_now)
+        return { external::order_outcome::LeaseEndPassed, workerClock() };
+    worker.leaseEnd = std::max(worker.leaseEnd, end);
+    if (worker.running.contains(order.run.task) && worker.running.at(order.run.task).run == order.run)
+        return { external::order_outcome::Accepted, workerClock() };
+    if (worker.closed.contains(order.run.task) && order.run.number <= worker.closed.at(order.run.task))
+        return { external::order_outcome::StaleRunNumber, workerClock() };
+    const bool hasShrunk = rejectsOverload() && !worker.formerCapacities.empty();
+    if (hasShrunk && !usageWith(worker, m_jobs.at(order.run.task.job).steps[order.run.task.step]).fitsIn(worker.description.capacity)) {
+        ++m_refusedStartCount;
+        return { external::order_outcome::InsufficientCapacity, workerClock() };
+    }
+    checkStart(worker, order);
+    if (const auto deadly = m_deadlyTasks.find(order.run.task); deadly != m_deadlyTasks.end()) {
+        if (m_crashCounts[order.run.task] >= 3 && ++m_startsAfterThirdCrash[order.run.task] >= 3)
+            m_violations.push_back(absl::StrCat(order.run.task.job, " was started three times more after it had crashed three workers"));
+        schedule(deadly->second, [this, id = worker.description.id, incarnation = worker.description.incarnation, task = order.run.task] {
+            const auto& current = *m_workers.at(id);
+            if (current.description.incarnation == incarnation && current.running.contains(task))
+                crash(id, task);
+        });
+    }
+    const auto& step = m_jobs.at(order.run.task.job).steps[order.run.task.step];
+    worker.running[order.run.task] = { order.run, m_now + taskTime, step.isLongRunning };
+    ++m_startCounts[order.run.task];
+    return { external::order_outcome::Accepted, workerClock() };
+}
+
+void simulated_fleet::start(const start_command& command)
+{
+    auto& worker = *m_workers.at(command.worker.id);
+    const auto answer = [this, command, term = m_term, sentAt = m_now](const external::order_reply& reply) {
+        if (term == m_term)
+            m_engine->handleStartReply(command.worker.id, command.order.run, reply, sentAt, m_now);
+    };
+    if (worker.faults.isUnresponsive) {
+        schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
+        return;
+    }
+    if (worker.faults.isDown || worker.faults.isReplaced) {
+        schedule(orderDelay, [answer, &worker] { answer({ worker.faults.isDown ? external::order_outcome::NotSent : external::order_outcome::OtherIncarnation, 0 }); });
+        return;
+    }
+    if (worker.faults.isUnhealthy) {
+        schedule(orderDelay, [answer] { answer({ external::order_outcome::Unhealthy, 0 }); });
+        return;
+    }
+    if (worker.faults.startDelay.count() > 0 && m_random() % 2 == 0) {
+        schedule(worker.faults.startDelay, [this, &worker, command, incarnation = worker.description.incarnation] {
+            if (worker.description.incarnation == incarnation)
+                apply(worker, command.order);
+        });
+        schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
+        return;
+    }
+    schedule(orderDelay, [this, &worker, command, answer, incarnation = worker.description.incarnation] {
+        // The connection was to the former process.
+        if (worker.description.incarnation != incarnation) {
+            schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
+            return;
+        }
+        const auto reply = apply(worker, command.order);
+        if (!worker.faults.losesReplies && !worker.faults.losesStartReplies)
+            schedule(orderDelay, [answer, reply] { answer(reply); });
+        else
+            schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
+    });
+}
+
+void simulated_fleet::observe(const observe_command& command)
+{
+    const auto answer = [this, command, term = m_term, sentAt = m_now](const external::observe_reply& reply) {
+        if (term == m_term)
+            m_engine->handleObserveReply(command.worker.id, command, reply, sentAt, m_now);
+    };
+    const auto handleOrder = [this, command, answer] {
+        auto& worker = *m_workers.at(command.worker.id);
+        if (worker.faults.isUnresponsive) {
+            schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, {} }); });
+            return;
+        }
+        if (worker.faults.isDown || worker.faults.isReplaced) {
+            answer({ worker.faults.isDown ? external::order_outcome::NotSent : external::order_outcome::OtherIncarnation, {} });
+            return;
+        }
+        if (command.order.fence < worker.fence) {
+            answer({ external::order_outcome::Fenced, {} });
+            return;
+        }
+        worker.fence = command.order.fence;
+        if (command.order.leaseEnd != 0)
+            worker.leaseEnd = std::max(worker.leaseEnd, std::min(utils::time_point() + utils::milliseconds(command.order.leaseEnd), m_now + longestLease));
+        for (const auto& end : worker.ended) {
+            if (end.number <= command.order.acknowledgedEnd && end.number > worker.lastEndBeforeLapse && end.cause == external::end_cause::Done)
+                m_acknowledgedTasks.insert(end.run.task);
+        }
+        std::erase_if(worker.ended, [&](const auto& end) { return end.number <= command.order.acknowledgedEnd; });
+        external::observe_reply reply { external::order_outcome::Accepted, { workerClock(), worker.description.incarnation, {}, worker.ended } };
+        for (const auto& [task, run] : worker.running) {
+            const auto left = std::chrono::duration_cast<utils::milliseconds>(run.endsAt - m_now).count();
+            const int percent = run.isLongRunning ? 100 : worker.faults.hangs ? 0
+                                                                              : static_cast<int>(std::clamp<std::int64_t>(100 - 100 * left / taskTime.count(), 0, 99));
+            const std::int64_t load = run.isLongRunning ? (worker.tailLatency ? worker.tailLatency(worker, run.run) : 30) : 2000 * run.pace / 100;
+            reply.workerState.running.push_back({ run.run, "", percent, load });
+        }
+        answer(reply);
+    };
+    // A worker would answer at the next end of a run or after the wait. Here it answers after at most 100 ms instead.
+    schedule(orderDelay + std::min(command.order.wait, utils::milliseconds(100)), handleOrder);
+}
+
+} // namespace camphorsaddle::jobs::test
