Jobs: Name the check of a capacity's age; test entries of former processes

No change in behaviour.

The case entriesOfFormerProcessesArriveLate is new: a listing may still show the entry of a process that has been replaced. It passes on the code before; with the arrival of such an entry counted as a renewal it overloads workers.

--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -40,12 +40,9 @@
 void job_engine::announceWorker(const worker_description& worker, utils::time_point now)
 {
     auto& known = ensureWorker(worker.id, now);
-    // An entry of a former incarnation, which a listing may still show, says nothing about the current one.
-    const bool isCurrent = worker.incarnation == 0 || worker.incarnation >= known.description.incarnation;
-    if (isCurrent)
-        known.announcedAt = now;
     if (known.isAnnounced && isRenewalOf(worker, known.description)) {
         known.description.renewedAt = worker.renewedAt;
+        known.announcedAt = now;
         return;
     }
     if (known.description.endpoint != worker.endpoint) {
@@ -59,6 +56,8 @@
     if (worker.incarnation != 0 && known.description.incarnation != 0 && worker.incarnation > known.description.incarnation)
         beginIncarnation(known, worker.incarnation, now);
     const auto incarnation = std::max(known.description.incarnation, worker.incarnation);
+    // An entry of a former incarnation, which a listing may still show, doesn't tell the capacity of the current one.
+    const bool isCurrent = worker.incarnation == 0 || worker.incarnation == incarnation;
     known.description = worker;
     known.description.incarnation = incarnation;
     known.announcedAt = isCurrent ? now : utils::time_point();
--- a/src/libs/jobs/placement.cpp
+++ b/src/libs/jobs/placement.cpp
@@ -42,11 +42,17 @@
     return static_cast<double>(processors) / static_cast<double>(std::max<std::int64_t>(worker.description.capacity.processors, 1));
 }
 
+bool isCapacityReliable(const worker_state& worker, const engine_settings& settings, utils::time_point now)
+{
+    if (now < worker.capacityRefusedUntil)
+        return false;
+    return worker.rejectsOverload || now <= capacityKnownAt(worker) + settings.maximumCapacityAge;
+}
+
 bool isOpenForTasks(const worker_state& worker, const engine_settings& settings, utils::time_point now)
 {
     const bool isListed = worker.isAnnounced || now < worker.withdrawnAt + settings.withdrawalGracePeriod;
-    const bool isCapacityKnown = now >= worker.capacityRefusedUntil && (worker.rejectsOverload || now <= capacityKnownAt(worker) + settings.maximumCapacityAge);
-    return isListed && isCapacityKnown && worker.hasAcceptedTerm && !worker.description.isDraining && worker.unansweredObserves == 0 && worker.suspectRun == nullptr && !worker.reliability.isSuspended(now);
+    return isListed && isCapacityReliable(worker, settings, now) && worker.hasAcceptedTerm && !worker.description.isDraining && worker.unansweredObserves == 0 && worker.suspectRun == nullptr && !worker.reliability.isSuspended(now);
 }
 
 model::resources reservedResources(const step_spec& step)
--- a/src/libs/jobs/placement.h
+++ b/src/libs/jobs/placement.h
@@ -11,6 +11,9 @@
 //! \brief Time at which the worker had the capacity that its directory entry states.
 utils::time_point capacityKnownAt(const worker_state& worker);
 
+//! \brief Whether tasks may be started by the capacity that the worker's directory entry states.
+bool isCapacityReliable(const worker_state& worker, const engine_settings& settings, utils::time_point now);
+
 //! \brief Whether the worker may be given any task now, as far as that depends on the worker alone.
 bool isOpenForTasks(const worker_state& worker, const engine_settings& settings, utils::time_point now);
 
--- a/tests/auto/jobs/tst_changing_capacities.cpp
+++ b/tests/auto/jobs/tst_changing_capacities.cpp
@@ -100,6 +100,21 @@
                          fleet.run(utils::milliseconds(3000));
                          setRenewal(fleet, true);
                      } },
+        shrink_case { "entriesOfFormerProcessesArriveLate", [](simulated_fleet& fleet) {
+                         std::vector<worker_description> formerEntries;
+                         for (unsigned number = 0; number < workerCount; ++number) {
+                             auto& worker = fleet.worker(workerName(number));
+                             formerEntries.push_back(worker.description);
+                             worker.description.capacity = smallCapacity;
+                             fleet.restartWorker(workerName(number));
+                         }
+                         fleet.run(simulated_fleet::entryRenewalInterval + settleTime);
+                         setRenewal(fleet, false);
+                         for (const auto& entry : formerEntries)
+                             fleet.engine().announceWorker(entry, fleet.now());
+                         fleet.run(utils::milliseconds(3000));
+                         setRenewal(fleet, true);
+                     } },
         shrink_case { "ordersTakeEffectLate", [](simulated_fleet& fleet) {
                          for (unsigned number = 0; number < workerCount; ++number)
                              fleet.worker(workerName(number)).faults.startDelay = utils::milliseconds(3500);
