Tests: Simulated workers that have crashed execute no orders

An order that reached a worker between its crash and its return was executed and confirmed, because only its incarnation was compared. Such an order now gets no answer.

--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -191,15 +191,15 @@
     }
     if (worker.faults.startDelay.count() > 0 && m_random() % 2 == 0) {
         schedule(worker.faults.startDelay, [this, &worker, command, incarnation = worker.description.incarnation] {
-            if (worker.description.incarnation == incarnation)
+            if (!worker.faults.isDown && worker.description.incarnation == incarnation)
                 apply(worker, command.order);
         });
         schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
         return;
     }
     schedule(orderDelay, [this, &worker, command, answer, incarnation = worker.description.incarnation] {
-        // The connection was to the former process.
-        if (worker.description.incarnation != incarnation) {
+        // The connection was to a process that has ended.
+        if (worker.faults.isDown || worker.description.incarnation != incarnation) {
             schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
             return;
         }
