Jobs: Give up a task that crashes its workers some time after its start

What callers would see: one task crashes worker after worker without a limit, all runs beside it are lost each time.

Cause: only runs that started at most 0.25 s before their worker's last answer were suspected. A task that crashes its workers after 0.6 s or more was never counted.

Change: the other runs of a crashed worker that are younger than 30 s get a late crash, unless a suspected task was on probation there. The job fails after four in a row, or five crashes of both kinds. Late crashes are stored, possible ones from the second on. A suspected task isn't isolated on a worker beside a task that has lost a worker before.

--- a/src/libs/jobs/engine_settings.h
+++ b/src/libs/jobs/engine_settings.h
@@ -32,6 +32,8 @@
     utils::milliseconds unlistedWorkerLeaseMargin { 300 };
     //! A run is suspected of a crash of its worker if the worker last answered at most this long after the run's start.
     utils::milliseconds crashSuspicionTime { 250 };
+    //! A run that lasted this long has not caused a later crash of its worker.
+    utils::milliseconds soundRunTime { 30'000 };
     //! How long a suspected task must run before other tasks are started on its worker again. The worker is then queried, so
     //! that a later crash isn't put down to the task.
     utils::milliseconds probationTime { 300 };
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -118,6 +118,7 @@
         task.failedRuns = stored.failedRuns;
         task.crashCount = stored.crashCount;
         task.unconfirmedCrashCount = stored.unconfirmedCrashCount;
+        task.lateCrashCount = stored.lateCrashCount;
         task.possibleCrashes = stored.possibleCrashes;
         task.checkpoint = stored.checkpoint;
         task.lastRun = std::max(task.lastRun, stored.lastRun);
@@ -278,10 +279,10 @@
         const auto& tasks = job.steps[number].tasks;
         for (unsigned index = 0; index < tasks.size(); ++index) {
             const auto& task = tasks[index];
-            if (!task.isDone && task.failedRuns.empty() && !isCrashSuspect(task))
+            if (!task.isDone && task.failedRuns.empty() && !isCrashSuspect(task) && task.lateCrashCount == 0)
                 continue;
             // A completed task needs no checkpoint.
-            progress.tasks.push_back({ number, index, task.isDone, task.failedRuns, task.lastRun, task.isDone ? std::string() : task.checkpoint, task.crashCount, task.unconfirmedCrashCount, task.possibleCrashes });
+            progress.tasks.push_back({ number, index, task.isDone, task.failedRuns, task.lastRun, task.isDone ? std::string() : task.checkpoint, task.crashCount, task.unconfirmedCrashCount, task.lateCrashCount, storedPossibleCrashes(task) });
         }
     }
     return progress;
--- a/src/libs/jobs/job_engine_crashes.cpp
+++ b/src/libs/jobs/job_engine_crashes.cpp
@@ -15,31 +15,68 @@
     // The same for all crashes, if some starts were never confirmed: one of these may not have been executed.
     constexpr unsigned maximumPossibleCrashesInIsolation = 4;
     constexpr unsigned maximumPossibleCrashes = 5;
+    // The same for crashes later after a start, where a task has often only been beside the one that caused them, and for
+    // crashes at any time.
+    constexpr unsigned maximumLateCrashes = 4;
+    constexpr unsigned maximumCrashesAtAnyTime = 5;
     // Interval between searches for a worker on which a suspected task is isolated.
     constexpr utils::milliseconds isolationSearchInterval { 50 };
 
     //! \brief Whether a task is to be given up after a crash; \a isIsolated if no other run can have caused it.
     bool hasCrashedTooOften(const task_state& task, bool isIsolated)
     {
+        if (task.lateCrashCount >= maximumLateCrashes || task.crashCount + task.lateCrashCount >= maximumCrashesAtAnyTime)
+            return true;
         const auto possibleCrashes = task.crashCount + task.unconfirmedCrashCount;
         return task.crashCount >= (isIsolated ? maximumCrashesInIsolation : maximumCrashes) || possibleCrashes >= (isIsolated ? maximumPossibleCrashesInIsolation : maximumPossibleCrashes);
     }
 
+    unsigned& crashCounter(task_state& task, const possible_crash& crash)
+    {
+        if (crash.isLate)
+            return task.lateCrashCount;
+        return crash.isConfirmed ? task.crashCount : task.unconfirmedCrashCount;
+    }
+
+    unsigned provenCrashes(const task_state& task)
+    {
+        return task.crashCount + task.unconfirmedCrashCount + task.lateCrashCount;
+    }
+
 } // namespace
 
 void job_engine::recordPossibleCrash(worker_state& worker)
 {
+    for (const auto* run : worker.runs) {
+        auto& task = taskOf(*run);
+        if (task.lateCrashCount > 0 && worker.answeredAt > run->runningSince + m_settings.soundRunTime) {
+            task.lateCrashCount = 0;
+            markChanged(*run->job);
+        }
+    }
+    for (const auto* run : lateCrashSuspects(worker, m_settings.crashSuspicionTime, m_settings.soundRunTime)) {
+        if (!isFinal(run->job->phase))
+            addPossibleCrash(*run, /*isLate=*/true);
+    }
     for (const auto* run : crashSuspects(worker, m_settings.crashSuspicionTime)) {
         if (isFinal(run->job->phase))
             continue;
-        auto& task = taskOf(*run);
-        task.possibleCrashes.push_back({ run->number, worker.description.id, worker.description.endpoint, worker.description.incarnation, isStartConfirmed(*run), run == worker.suspectRun && run->isIsolated });
-        worker.suspectedTasks.push_back(idOf(*run).task);
-        markChanged(*run->job);
+        addPossibleCrash(*run, /*isLate=*/false);
+        const auto& task = taskOf(*run);
         reportEvent(engine_event_kind::TaskSuspected, *run, absl::StrCat("its worker may have crashed, crashes=", task.crashCount, " isolated=", task.possibleCrashes.back().isIsolated ? "true" : "false"));
     }
 }
 
+void job_engine::addPossibleCrash(const run_state& run, bool isLate)
+{
+    auto& task = taskOf(run);
+    auto& worker = *run.worker;
+    task.possibleCrashes.push_back({ run.number, worker.description.id, worker.description.endpoint, worker.description.incarnation, isStartConfirmed(run), &run == worker.suspectRun && run.isIsolated, isLate });
+    worker.suspectedTasks.push_back(idOf(run).task);
+    if (mustBeStored(task, task.possibleCrashes.back()))
+        markChanged(*run.job);
+}
+
 void job_engine::resolvePossibleCrash(worker_state& worker, bool hasCrashed, utils::time_point now)
 {
     for (const auto& id : std::exchange(worker.suspectedTasks, {})) {
@@ -51,16 +88,17 @@
         if (crash == task->possibleCrashes.end())
             continue;
         const auto resolved = *crash;
+        const bool isStored = mustBeStored(*task, resolved);
         task->possibleCrashes.erase(crash);
-        if (task->isDone || isFinal(job->phase))
+        if (task->isDone || isFinal(job->phase) || (!hasCrashed && !isStored))
             continue;
         markChanged(*job);
         if (hasCrashed)
-            ++(resolved.isConfirmed ? task->crashCount : task->unconfirmedCrashCount);
+            ++crashCounter(*task, resolved);
         m_onEvent({ engine_event_kind::TaskSuspected, id.job, absl::StrCat(id.step, ".", id.index, "/", resolved.run), worker.description.id,
-            absl::StrCat(hasCrashed ? "its worker has crashed" : "its worker has not crashed", ", crashes=", task->crashCount, " unconfirmed=", task->unconfirmedCrashCount, " isolated=", resolved.isIsolated ? "true" : "false") });
+            absl::StrCat(hasCrashed ? "its worker has crashed" : "its worker has not crashed", ", crashes=", task->crashCount, " unconfirmed=", task->unconfirmedCrashCount, " late=", task->lateCrashCount, " isolated=", resolved.isIsolated ? "true" : "false") });
         if (hasCrashed && hasCrashedTooOften(*task, resolved.isIsolated))
-            endJob(*job, job_phase::Failed, now, absl::StrCat("task ", id.step, ".", id.index, " crashed ", task->crashCount + task->unconfirmedCrashCount, " workers"));
+            endJob(*job, job_phase::Failed, now, absl::StrCat("task ", id.step, ".", id.index, " crashed ", provenCrashes(*task), " workers"));
     }
 }
 
@@ -87,7 +125,7 @@
     for (const auto& id : worker.suspectedTasks) {
         job_state* job = nullptr;
         auto* task = findTask({ id, 0 }, &job);
-        if (task != nullptr && task->crashCount + task->unconfirmedCrashCount + task->possibleCrashes.size() >= maximumCrashesInIsolation)
+        if (task != nullptr && provenCrashes(*task) + storedPossibleCrashes(*task).size() >= maximumCrashesInIsolation)
             task->notBefore = now + m_settings.crashResolutionTime;
     }
 }
@@ -98,7 +136,7 @@
     worker_state* best = nullptr;
     double bestCost = 0;
     for (auto* candidate : m_workerList) {
-        if (isIsolated && !hasNoRecentStarts(*candidate, m_settings.crashSuspicionTime, now))
+        if (isIsolated && !isFreeOfSuspects(*candidate, m_settings.crashSuspicionTime, now))
             continue;
         auto cost = costOf(*candidate, job, step, now, mode);
         if (!cost)
--- a/src/libs/jobs/job_record.cpp
+++ b/src/libs/jobs/job_record.cpp
@@ -130,6 +130,7 @@
         target.set_checkpoint(task.checkpoint);
         target.set_crash_count(task.crashCount);
         target.set_unconfirmed_crash_count(task.unconfirmedCrashCount);
+        target.set_late_crash_count(task.lateCrashCount);
         for (const auto& crash : task.possibleCrashes) {
             auto& possibleCrash = *target.add_possible_crashes();
             possibleCrash.set_run(crash.run);
@@ -138,6 +139,7 @@
             possibleCrash.set_worker_incarnation(crash.workerIncarnation);
             possibleCrash.set_confirmed(crash.isConfirmed);
             possibleCrash.set_isolated(crash.isIsolated);
+            possibleCrash.set_late(crash.isLate);
         }
     }
     return record.SerializeAsString();
@@ -200,9 +202,9 @@
         return record.status();
     job_progress progress { phaseOf(record->state()), {} };
     for (const auto& task : record->tasks()) {
-        progress.tasks.push_back({ task.step(), task.index(), task.done(), { task.failed_runs().begin(), task.failed_runs().end() }, task.last_run(), task.checkpoint(), task.crash_count(), task.unconfirmed_crash_count(), {} });
+        progress.tasks.push_back({ task.step(), task.index(), task.done(), { task.failed_runs().begin(), task.failed_runs().end() }, task.last_run(), task.checkpoint(), task.crash_count(), task.unconfirmed_crash_count(), task.late_crash_count(), {} });
         for (const auto& crash : task.possible_crashes())
-            progress.tasks.back().possibleCrashes.push_back({ crash.run(), crash.worker(), crash.worker_endpoint(), crash.worker_incarnation(), crash.confirmed(), crash.isolated() });
+            progress.tasks.back().possibleCrashes.push_back({ crash.run(), crash.worker(), crash.worker_endpoint(), crash.worker_incarnation(), crash.confirmed(), crash.isolated(), crash.late() });
     }
     return progress;
 }
--- a/src/libs/jobs/job_record.h
+++ b/src/libs/jobs/job_record.h
@@ -24,6 +24,8 @@
     bool isConfirmed = false;
     //! No other run can have caused a crash of the worker.
     bool isIsolated = false;
+    //! The run had started some time before, so that any run of the worker may have caused the crash.
+    bool isLate = false;
 
     auto operator<=>(const possible_crash&) const = default;
 };
@@ -42,6 +44,8 @@
     unsigned crashCount = 0;
     //! Workers that crashed while they had a start of the task which they may have executed.
     unsigned unconfirmedCrashCount = 0;
+    //! Workers that crashed some time after the start of a run of the task, in a row.
+    unsigned lateCrashCount = 0;
     std::vector<possible_crash> possibleCrashes;
 
     auto operator<=>(const task_progress&) const = default;
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -86,6 +86,8 @@
     std::vector<possible_crash> possibleCrashes;
     //! Number of workers that crashed while they had a start of the task which they may have executed.
     unsigned unconfirmedCrashCount = 0;
+    //! Number of workers that crashed some time after the start of a run of the task, without a sound run in between.
+    unsigned lateCrashCount = 0;
     //! Since when a suspected task has been looking for a worker without recent starts.
     utils::time_point isolationSoughtSince;
     std::uint64_t lastRun = 0;
--- a/tests/auto/jobs/tst_crashing_tasks.cpp
+++ b/tests/auto/jobs/tst_crashing_tasks.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "jobs/simulated_fleet.h"
+#include "jobs/crash_scenarios.h"
 
 using namespace camphorsaddle;
 using namespace camphorsaddle::jobs;
@@ -11,18 +11,9 @@
 
 namespace {
 
-constexpr utils::milliseconds settleTime { 200 };
 constexpr utils::milliseconds observationTime { 60'000 };
-constexpr unsigned workerCount = 10;
 constexpr unsigned soundJobCount = 8;
 
-void addWorkers(simulated_fleet& fleet)
-{
-    for (unsigned number = 0; number < workerCount; ++number)
-        fleet.addWorker(absl::StrCat("w", number));
-    fleet.run(settleTime);
-}
-
 } // namespace
 
 struct crash_case {
@@ -125,7 +116,7 @@
 
 TEST(CrashingTasks, StoredCrashesAreLost)
 {
-    const job_progress progress { job_phase::Running, { { 1, 2, false, { 4 }, 7, "checkpoint", 1, 2, { { 7, "w1", "address:1", 12, true, true }, { 8, "w2", "address:2", 13, false, false } } } } };
+    const job_progress progress { job_phase::Running, { { 1, 2, false, { 4 }, 7, "checkpoint", 1, 2, 3, { { 7, "w1", "address:1", 12, true, true, false }, { 8, "w2", "address:2", 13, false, false, true } } } } };
     const auto parsed = parseProgress(encodeProgress(progress));
     ASSERT_TRUE(parsed.ok());
     EXPECT_EQ(*parsed, progress);
@@ -231,58 +222,5 @@
 // workers crashed. Fails if the next leader doesn't restore possible crashes or the number of crashes.
 TEST_P(crashing_tasks_under_mixed_faults, OneTaskCrashesWorkerAfterWorker)
 {
-    simulated_fleet fleet(GetParam());
-    addWorkers(fleet);
-    std::mt19937_64 random(GetParam());
-    const auto randomWorker = [&]() -> worker_faults& {
-        return fleet.worker(absl::StrCat("w", random() % workerCount)).faults;
-    };
-    constexpr unsigned roundCount = 40;
-    bool isStoreDown = false;
-    for (unsigned round = 0; round < roundCount; ++round) {
-        if (round % 4 == 0) {
-            const auto job = absl::StrCat("deadly", round);
-            fleet.makeDeadly({ job, 0, 0, 0 });
-            fleet.submit(makeJob(job, { round % 8 == 0 ? batchStep(3) : serviceStep(2, "service") }));
-        }
-        fleet.submit(makeJob(absl::StrCat("sound", round), { batchStep(5), batchStep(2, { 0 }) }));
-        switch (random() % 6) {
-        case 0:
-            // Leaders are elected through the store.
-            if (!isStoreDown)
-                fleet.changeLeader(random() % 2 == 0);
-            break;
-        case 1: {
-            auto& faults = randomWorker();
-            faults.isUnresponsive = !faults.isUnresponsive;
-            break;
-        }
-        case 2:
-            randomWorker().losesReplies = random() % 2 == 0;
-            break;
-        case 3:
-            randomWorker().startDelay = utils::milliseconds(random() % 2 == 0 ? 2500 : 0);
-            break;
-        case 4:
-            isStoreDown = random() % 3 == 0;
-            fleet.setStoreDown(isStoreDown);
-            break;
-        default:
-            break;
-        }
-        fleet.run(utils::milliseconds(100 + random() % 700));
-    }
-    fleet.setStoreDown(false);
-    for (unsigned number = 0; number < workerCount; ++number) {
-        auto& faults = fleet.worker(absl::StrCat("w", number)).faults;
-        faults = { .isDown = faults.isDown };
-    }
-    fleet.run(observationTime);
-    EXPECT_EQ(fleet.violations(), std::vector<std::string>());
-    for (unsigned round = 0; round < roundCount; ++round) {
-        EXPECT_TRUE(isFinal(*fleet.phase(absl::StrCat("sound", round)))) << round;
-        if (round % 4 == 0) {
-            EXPECT_EQ(fleet.phase(absl::StrCat("deadly", round)), job_phase::Failed) << round;
-        }
-    }
+    playMixedFaults(GetParam(), [](auto&) { return utils::milliseconds(10); });
 }
