Jobs: Count the crash of a worker once

What callers would see: a job is given up after fewer crashes than meant.

Cause: a crash is proven by the directory entry of another worker at the address, and again by that worker's answer to an order for the former one. After the first proof nothing was left that marked the runs, which still stood on the lost worker: the second proof recorded and counted their crash again. With suspected tasks it raised the count to two after one crash, which alone gives up no job; with late crashes two crashes counted as four.

Change: a run remembers that a crash of its worker is recorded, until the worker answers.

--- a/src/libs/jobs/crash_suspicion.h
+++ b/src/libs/jobs/crash_suspicion.h
@@ -7,13 +7,14 @@
 namespace camphorsaddle::jobs {
 
 //! \brief Runs that may have caused the crash of their worker: those that started last before its last answer, and those whose
-//! start wasn't confirmed.
+//! start wasn't confirmed. Runs of which that is recorded already are left out.
 //!
 //! \a suspicionTime is the longest time between the confirmation of such a start and the worker's last answer. Returns no runs
 //! for a draining worker, which is expected to go.
 std::vector<run_state*> crashSuspects(const worker_state& worker, utils::milliseconds suspicionTime);
 
 //! \brief Other runs that a crash of their worker may be due to: those that started at most \a soundRunTime before its last answer.
+//! Runs of which that is recorded already are left out.
 //!
 //! An adopted run counts from its adoption. Returns no runs while a suspected task is on probation, which is then the likely cause.
 std::vector<run_state*> lateCrashSuspects(const worker_state& worker, utils::milliseconds suspicionTime, utils::milliseconds soundRunTime);
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -147,7 +147,7 @@
     // Tasks that crash their workers.
     //! \brief Records that the unresponsive worker may have crashed because of its suspected runs.
     void recordPossibleCrash(worker_state& worker);
-    void addPossibleCrash(const run_state& run, bool isLate);
+    void addPossibleCrash(run_state& run, bool isLate);
     //! \brief Counts the worker's possible crash against the suspected tasks if it \a hasCrashed, else drops it.
     void resolvePossibleCrash(worker_state& worker, bool hasCrashed, utils::time_point now);
     //! \brief Continues to look for proofs of the possible crashes that a former leader has stored.
--- a/src/libs/jobs/job_engine_crashes.cpp
+++ b/src/libs/jobs/job_engine_crashes.cpp
@@ -54,11 +54,11 @@
             markChanged(*run->job);
         }
     }
-    for (const auto* run : lateCrashSuspects(worker, m_settings.crashSuspicionTime, m_settings.soundRunTime)) {
+    for (auto* run : lateCrashSuspects(worker, m_settings.crashSuspicionTime, m_settings.soundRunTime)) {
         if (!isFinal(run->job->phase))
             addPossibleCrash(*run, /*isLate=*/true);
     }
-    for (const auto* run : crashSuspects(worker, m_settings.crashSuspicionTime)) {
+    for (auto* run : crashSuspects(worker, m_settings.crashSuspicionTime)) {
         if (isFinal(run->job->phase))
             continue;
         addPossibleCrash(*run, /*isLate=*/false);
@@ -67,8 +67,9 @@
     }
 }
 
-void job_engine::addPossibleCrash(const run_state& run, bool isLate)
+void job_engine::addPossibleCrash(run_state& run, bool isLate)
 {
+    run.isCrashRecorded = true;
     auto& task = taskOf(run);
     auto& worker = *run.worker;
     task.possibleCrashes.push_back({ run.number, worker.description.id, worker.description.endpoint, worker.description.incarnation, isStartConfirmed(run), &run == worker.suspectRun && run.isIsolated, isLate });
@@ -79,6 +80,12 @@
 
 void job_engine::resolvePossibleCrash(worker_state& worker, bool hasCrashed, utils::time_point now)
 {
+    if (worker.suspectedTasks.empty())
+        return;
+    if (!hasCrashed) {
+        for (auto* run : worker.runs)
+            run->isCrashRecorded = false;
+    }
     for (const auto& id : std::exchange(worker.suspectedTasks, {})) {
         job_state* job = nullptr;
         auto* task = findTask({ id, 0 }, &job);
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -360,7 +360,7 @@
 
 void job_engine::closeRunsAsLost(worker_state& worker, worker_loss loss, utils::time_point now, const std::string& reason)
 {
-    if (loss == worker_loss::Replaced && worker.suspectedTasks.empty())
+    if (loss == worker_loss::Replaced)
         recordPossibleCrash(worker);
     while (!worker.runs.empty()) {
         auto& run = *worker.runs.back();
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -70,6 +70,9 @@
     bool isAdopted = false;
     //! A task that is suspected of crashing workers, on a worker without other recent starts.
     bool isIsolated = false;
+    //! A crash of its worker is recorded in the task, be it a possible or a proven one. The proof may arrive twice: with the
+    //! directory entry of another worker at the address, and with that worker's answer.
+    bool isCrashRecorded = false;
     //! Number of the worker's last report that lists the run; see worker_state::reportCount.
     std::uint64_t lastReport = 0;
 };
--- a/tests/auto/jobs/tst_late_crashes.cpp
+++ b/tests/auto/jobs/tst_late_crashes.cpp
@@ -47,6 +47,8 @@
             fleet.changeLeader(jobCount % 32 == 0);
     }
     EXPECT_EQ(fleet.phase("deadly"), job_phase::Failed);
+    // Fails if a crash counts twice, by the entry of another worker at the address and by that worker's answer.
+    EXPECT_GE(fleet.crashCount(deadly), 4u);
     fleet.run(utils::milliseconds(20'000));
     EXPECT_EQ(fleet.violations(), std::vector<std::string>());
     EXPECT_EQ(fleet.workersRunning("service").size(), 5u);
