Jobs: Pause best-effort runs that are slow already

Cause, as far as it is shown: a change of the pace by less than 10 points wasn't ordered, also when the run was to be paused because the target had been missed for 2 s. A run at a pace of 5 to 9% thus went on for as long as the service task missed its target.

Change: a pause is ordered whatever the pace is.

--- a/src/libs/jobs/job_engine_pacing.cpp
+++ b/src/libs/jobs/job_engine_pacing.cpp
@@ -116,8 +116,8 @@
         }
     }
     for (const auto& [bestEffortRun, pace] : paces) {
-        const bool isWorthwhile = std::abs(pace - bestEffortRun->pace) >= minimumPaceChange || (pace == 100 && bestEffortRun->pace < 100);
-        if (!isWorthwhile)
+        const bool isWorthwhile = std::abs(pace - bestEffortRun->pace) >= minimumPaceChange || pace == 0 || pace == 100;
+        if (pace == bestEffortRun->pace || !isWorthwhile)
             continue;
         bestEffortRun->isPaceOrderPending = true;
         commands.push_back(pace_command { { worker.description.id, worker.description.endpoint }, idOf(*bestEffortRun), pace });
