--- a/tests/auto/tasks/tst_job_front.cpp
+++ b/tests/auto/tasks/tst_job_front.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "tasks/coordinator/job_daemon_settings.h"
 #include "tasks/job_front/job_front_task.h"
+#include "tasks/plain_deployment_format.h"
 #include "transport/http_client.h"
 #include "utils/overloaded.h"
 
@@ -17,48 +18,8 @@
 constexpr utils::milliseconds oldAge { 5000 };
 const std::string callersHost = "jobs.example";
 
-class plain_deployment final : public deployment_adapter {
+class plain_deployment final : public test::plain_deployment_format<deployment_adapter> {
 public:
-    std::string rulesKey() const override
-    {
-        return "rules";
-    }
-
-    absl::StatusOr<jobs::deployment_rules> parseRules(const std::string&) const override
-    {
-        return absl::UnimplementedError("not used");
-    }
-
-    std::string workerKeyPrefix() const override
-    {
-        return "workers/";
-    }
-
-    absl::StatusOr<jobs::worker_description> parseWorker(const std::string&, const std::string&) const override
-    {
-        return absl::UnimplementedError("not used");
-    }
-
-    absl::StatusOr<jobs::job_spec> parseJob(const std::string&) const override
-    {
-        return absl::UnimplementedError("not used");
-    }
-
-    std::string callerTimeoutHeader() const override
-    {
-        return "timeout-ms";
-    }
-
-    std::string renderPhase(jobs::job_phase) const override
-    {
-        return "{}";
-    }
-
-    std::string renderPendingJobCount(std::uint64_t count) const override
-    {
-        return absl::StrCat(count);
-    }
-
     std::unique_ptr<external::transactional_store> makeStore(transport::http_client&, utils::metric_registry&) const override
     {
         return nullptr;
--- a/tests/auto/tasks/tst_rules_follower.cpp
+++ b/tests/auto/tasks/tst_rules_follower.cpp
@@ -8,6 +8,7 @@
 #include "tasks/coordinator/rules_codec.h"
 #include "tasks/coordinator/rules_follower.h"
 #include "tasks/memory_store.h"
+#include "tasks/plain_deployment_format.h"
 
 using namespace camphorsaddle;
 using namespace camphorsaddle::tasks;
@@ -19,13 +20,8 @@
 constexpr utils::milliseconds unconfirmedRunTime { 1400 };
 
 // Encodes rules as VERSION:QUEUE,QUEUE,...
-class plain_format final : public jobs::deployment_format {
+class plain_format final : public test::plain_deployment_format<jobs::deployment_format> {
 public:
-    std::string rulesKey() const override
-    {
-        return "rules";
-    }
-
     absl::StatusOr<jobs::deployment_rules> parseRules(const std::string& value) const override
     {
         const std::pair<std::string, std::string> parts = absl::StrSplit(value, absl::MaxSplits(':', 1));
@@ -39,36 +35,6 @@
         }
         return rules;
     }
-
-    std::string workerKeyPrefix() const override
-    {
-        return "workers/";
-    }
-
-    absl::StatusOr<jobs::worker_description> parseWorker(const std::string&, const std::string&) const override
-    {
-        return absl::UnimplementedError("not used");
-    }
-
-    absl::StatusOr<jobs::job_spec> parseJob(const std::string&) const override
-    {
-        return absl::UnimplementedError("not used");
-    }
-
-    std::string callerTimeoutHeader() const override
-    {
-        return "patience";
-    }
-
-    std::string renderPhase(jobs::job_phase) const override
-    {
-        return {};
-    }
-
-    std::string renderPendingJobCount(std::uint64_t) const override
-    {
-        return {};
-    }
 };
 
 class rules_replication : public ::testing::Test {
