--- a/bench/capacity/leader_costs.cpp
+++ b/bench/capacity/leader_costs.cpp
@@ -69,7 +69,7 @@
         {
             auto rules = std::make_shared<jobs::deployment_rules>();
             for (const char* name : { "short", "long", "service" })
-                rules->queues.push_back({ name, "host", absl::StrCat("/", name, "/"), "service", name == std::string("long") ? 2 : 0, 3, 1.5, milliseconds(1000), milliseconds(3000), false });
+                rules->queues.push_back({ name, "host", absl::StrCat("/", name, "/"), "service", name == std::string("long") ? 2 : 0, 3, 1.5, milliseconds(1000), milliseconds(3000), false, true });
             m_engine.setRules(rules);
             m_engine.beginTerm({}, m_now);
             for (int number = 0; number < workers; ++number) {
