HTTP client: Read what has arrived before a call times out

Callers saw calls to the store fail with "no complete response within 1000 ms" although the store had answered, whenever the loop was busy for longer than the timeout. A failed watch lists all keys again, a write is repeated, and a relay gives up its connection to the worker.

Cause: libev runs the timers of a turn before its I/O, and endOverdueTransfers only looked at the clock. Calls on a new connection and calls with a connect timeout shorter than their own weren't affected: libcurl's timers of a connection, which are due in the same turn and run first, read the response. So long polls of workers were safe, calls to the store and plain orders on open connections were not.

The client now looks at the socket of an overdue call and reads what waits there, at most 64 times, before it ends the call.

Ruled out as a remedy: priorities of the loop's watchers alone.

Not changed: libcurl's own connect timeout still ends a call whose connection was opened while the loop was busy.

--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -1,6 +1,7 @@
 #include "transport/http_client.h"
 
 #include <curl/curl.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <set>
@@ -16,12 +17,16 @@
 
 namespace {
 
+    // Bounds how long the rest of a response is read after the timeout of its call.
+    constexpr int maximumReadsAfterTimeout = 64;
+
     struct transfer {
         http_call_id id = 0;
         http_call call;
         http_callback callback;
         utils::time_point deadline;
         CURL* handle = nullptr;
+        curl_socket_t socket = CURL_SOCKET_BAD;
         curl_slist* headers = nullptr;
         http_response response;
         bool isTooLarge = false;
@@ -49,6 +54,12 @@
         return absl::StrCat("no connection within ", std::min(call.timeout, call.connectTimeout).count(), " ms");
     }
 
+    bool isReadable(curl_socket_t socket)
+    {
+        pollfd state { socket, POLLIN, 0 };
+        return socket != CURL_SOCKET_BAD && poll(&state, 1, 0) > 0 && (state.revents & POLLIN) != 0;
+    }
+
     std::size_t onBody(char* data, std::size_t size, std::size_t count, void* target)
     {
         auto& current = *static_cast<transfer*>(target);
@@ -105,6 +116,8 @@
     //! libcurl's own limit of a transfer isn't used: libcurl discards a timeout that is due within a millisecond after another
     //! one of the same transfer, which then never ends.
     void endOverdueTransfers(utils::time_point now);
+    //! \brief Reads what has arrived for a transfer, which the loop may not have had the time for; returns whether that ended it.
+    bool endsByArrivedData(http_call_id id);
     void startDeadlineTimer(utils::time_point now);
     std::unique_ptr<transfer> takeTransfer(http_call_id id);
     http_result resultOf(transfer& current, CURLcode code) const;
@@ -219,7 +232,10 @@
 void curl_client::endOverdueTransfers(utils::time_point now)
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-        const auto owned = takeTransfer(m_deadlines.begin()->second);
+        const auto id = m_deadlines.begin()->second;
+        if (endsByArrivedData(id))
+            continue;
+        const auto owned = takeTransfer(id);
         http_result result = resultOf(*owned, CURLE_OPERATION_TIMEDOUT);
         releaseTransfer(*owned);
         owned->callback(std::move(result));
@@ -228,6 +244,20 @@
     m_retiredWatchers.clear();
 }
 
+bool curl_client::endsByArrivedData(http_call_id id)
+{
+    for (int reads = 0; reads < maximumReadsAfterTimeout; ++reads) {
+        const auto found = m_transfers.find(id);
+        if (found == m_transfers.end())
+            return true;
+        const auto socket = found->second->socket;
+        if (!isReadable(socket))
+            return false;
+        processSocketEvents(socket, EV_READ);
+    }
+    return !m_transfers.contains(id);
+}
+
 std::unique_ptr<transfer> curl_client::takeTransfer(http_call_id id)
 {
     const auto found = m_transfers.find(id);
@@ -242,6 +272,7 @@
 void curl_client::releaseTransfer(transfer& current)
 {
     curl_multi_remove_handle(m_multi, current.handle);
+    curl_easy_setopt(current.handle, CURLOPT_PRIVATE, nullptr);
     curl_slist_free_all(current.headers);
     m_idleHandles.push_back(current.handle);
 }
@@ -300,9 +331,15 @@
     return result;
 }
 
-int curl_client::onSocket(CURL*, curl_socket_t socket, int action, void* self, void*)
+int curl_client::onSocket(CURL* handle, curl_socket_t socket, int action, void* self, void*)
 {
     auto& client = *static_cast<curl_client*>(self);
+    transfer* current = nullptr;
+    curl_easy_getinfo(handle, CURLINFO_PRIVATE, &current);
+    if (current != nullptr && action != CURL_POLL_REMOVE)
+        current->socket = socket;
+    else if (current != nullptr && current->socket == socket)
+        current->socket = CURL_SOCKET_BAD;
     if (action == CURL_POLL_REMOVE) {
         // The callback of this watcher may be running, so the watcher is deleted later.
         if (const auto found = client.m_watchers.find(socket); found != client.m_watchers.end()) {
