Coordinator: Log and count what is late

Operators saw a large fleet served too little while the log couldn't tell whether the leader's loop, its relays or its workers were slow.

The coordinator records the delay of its timer of 50 ms in a histogram, and the leader counts its relayed orders, those that it reports as unanswered, replies to these, and workers that get another relay. Event 842 sums them up, at most once a second and only when something was late. The relay of a worker, its data centre and its unanswered orders are one entry now, so that a change can be told from a first choice; choices are as before.

--- a/src/libs/utils/events.cpp
+++ b/src/libs/utils/events.cpp
@@ -69,6 +69,7 @@
         events::peerAnswerUnreadable,
         events::carrierFound,
         events::carrierLost,
+        events::coordinatorLate,
         events::rulesUnconfirmed,
         events::rulesConfirmed,
         events::followerRevisionUnknown,
--- a/src/libs/utils/events.h
+++ b/src/libs/utils/events.h
@@ -115,6 +115,7 @@
     inline constexpr event peerAnswerUnreadable { 833, event_severity::Warning, "peer_answer_unreadable", "A response of an external system could not be parsed." };
     inline constexpr event carrierFound { 840, event_severity::Info, "carrier_found", "A daemon relays orders of the leader to workers." };
     inline constexpr event carrierLost { 841, event_severity::Warning, "carrier_lost", "A relay stopped responding; its open orders count as unanswered." };
+    inline constexpr event coordinatorLate { 842, event_severity::Warning, "coordinator_late", "The coordinator ran a timer late, or orders were answered late or not at all, since the last such line." };
 
     inline constexpr event rulesUnconfirmed { 850, event_severity::Warning, "rules_unconfirmed", "Neither the leader nor the store has confirmed this daemon's rules for some time." };
     inline constexpr event rulesConfirmed { 851, event_severity::Info, "rules_confirmed", "The daemon's rules are confirmed again." };
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -27,6 +27,8 @@
     : m_context(context)
     , m_settings(std::move(settings))
     , m_deployment(deployment)
+    , m_orderCounters(context.metrics)
+    , m_latenessReport(context.metrics, m_orderCounters, tickInterval)
     , m_tickTimer(loop(), [this] { onTick(); })
 {
 }
@@ -43,7 +45,7 @@
     const auto send = [this](const auto& endpoint, const auto& envelope) {
         this->send(endpoint, envelope);
     };
-    m_relayedControl = std::make_unique<relayed_run_control>(loop(), *m_runControl, m_settings.peerEndpoint, send);
+    m_relayedControl = std::make_unique<relayed_run_control>(loop(), *m_runControl, m_settings.peerEndpoint, send, m_orderCounters);
     m_orderRelay = std::make_unique<order_relay>(loop(), *m_runControl, m_settings.peerEndpoint, send);
     const auto incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<utils::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     try {
@@ -264,6 +266,7 @@
 void coordinator_task::onTick()
 {
     const auto now = utils::nowIncludingSuspend();
+    m_latenessReport.recordTick(now);
     sendHello(now);
     m_rulesFollower->tick(now);
     postRulesState();
--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -7,6 +7,7 @@
 #include "protocol/jobs.pb.h"
 #include "tasks/coordinator/coordinator_messages.h"
 #include "tasks/coordinator/job_daemon_settings.h"
+#include "tasks/coordinator/lateness_report.h"
 #include "tasks/coordinator/leader_term.h"
 #include "tasks/coordinator/leaderless_call_handler.h"
 #include "tasks/coordinator/relayed_run_control.h"
@@ -55,6 +56,8 @@
     std::unique_ptr<transport::http_client> m_httpClient;
     std::unique_ptr<external::transactional_store> m_store;
     std::unique_ptr<external::run_control> m_runControl;
+    relayed_order_counters m_orderCounters;
+    lateness_report m_latenessReport;
     std::unique_ptr<relayed_run_control> m_relayedControl;
     std::unique_ptr<order_relay> m_orderRelay;
     std::unique_ptr<leader_election> m_election;
--- a/src/tasks/coordinator/relayed_run_control.cpp
+++ b/src/tasks/coordinator/relayed_run_control.cpp
@@ -33,10 +33,11 @@
 
 } // namespace
 
-relayed_run_control::relayed_run_control(transport::event_loop& loop, external::run_control& directControl, std::string replyEndpoint, send_function send)
+relayed_run_control::relayed_run_control(transport::event_loop& loop, external::run_control& directControl, std::string replyEndpoint, send_function send, relayed_order_counters& counters)
     : m_directControl(directControl)
     , m_replyEndpoint(std::move(replyEndpoint))
     , m_send(std::move(send))
+    , m_counters(counters)
     , m_flushTimer(loop, [this] { flush(); })
 {
 }
@@ -52,7 +53,7 @@
 
 void relayed_run_control::setWorkerDataCentre(const std::string& worker, const std::string& dataCentre)
 {
-    m_workerDataCentres[worker] = dataCentre;
+    m_workers[worker].dataCentre = dataCentre;
 }
 
 void relayed_run_control::reset()
@@ -60,29 +61,32 @@
     m_flushTimer.stop();
     m_openOrders.clear();
     m_queuedOrders.clear();
-    m_assignedRelays.clear();
-    m_unansweredOrders.clear();
     m_relays.clear();
+    for (auto& [id, worker] : m_workers)
+        worker = { worker.dataCentre, {}, 0, false };
 }
 
-std::string relayed_run_control::relayForWorker(const std::string& worker)
+std::string relayed_run_control::relayForWorker(const std::string& id)
 {
-    std::string& assignedRelay = m_assignedRelays[worker];
-    if (m_relays.contains(assignedRelay))
-        return assignedRelay;
+    auto& worker = m_workers[id];
+    if (!worker.needsOtherRelay && m_relays.contains(worker.relayEndpoint))
+        return worker.relayEndpoint;
     std::vector<jobs::relay_daemon> relays;
     for (const auto& [endpoint, knownRelay] : m_relays)
         relays.push_back(knownRelay.relay);
     // The number of unanswered orders changes the hash, so that another relay is chosen if there is one.
-    const auto unanswered = m_unansweredOrders.find(worker);
-    const auto hashKey = unanswered == m_unansweredOrders.end() ? worker : absl::StrCat(worker, "#", unanswered->second);
-    const auto chosenRelay = jobs::chooseRelay(relays, hashKey, m_workerDataCentres[worker]);
-    assignedRelay = chosenRelay ? chosenRelay->endpoint : std::string();
-    return assignedRelay;
+    const auto hashKey = worker.consecutiveUnansweredOrders == 0 ? id : absl::StrCat(id, "#", worker.consecutiveUnansweredOrders);
+    const auto chosenRelay = jobs::chooseRelay(relays, hashKey, worker.dataCentre);
+    const auto previousEndpoint = std::exchange(worker.relayEndpoint, chosenRelay ? chosenRelay->endpoint : std::string());
+    worker.needsOtherRelay = false;
+    if (!previousEndpoint.empty() && previousEndpoint != worker.relayEndpoint)
+        m_counters.relayChanges.add();
+    return worker.relayEndpoint;
 }
 
 void relayed_run_control::enqueue(const std::string& relayEndpoint, protocol::RunOrder order, utils::milliseconds wait, std::function<void(const protocol::RunReply&, bool isLate)> complete)
 {
+    m_counters.orders.add();
     order.set_ticket(m_nextTicket++);
     m_openOrders[order.ticket()] = { relayEndpoint, utils::nowIncludingSuspend() + relayReplyTimeout + wait, std::move(complete), order.worker(), false };
     *m_queuedOrders[relayEndpoint].add_orders() = std::move(order);
@@ -110,18 +114,21 @@
             continue;
         const auto order = std::move(found->second);
         m_openOrders.erase(found);
+        if (order.isReportedUnanswered)
+            m_counters.lateReplies.add();
         if (reply.outcome() != static_cast<int>(external::order_outcome::NoAnswer))
-            m_unansweredOrders.erase(order.worker);
+            m_workers[order.worker].consecutiveUnansweredOrders = 0;
         order.complete(reply, order.isReportedUnanswered);
     }
 }
 
 void relayed_run_control::reportUnanswered(open_order& order)
 {
+    m_counters.unansweredOrders.add();
     order.isReportedUnanswered = true;
     order.deadline += lateReplyWindow;
-    if (++m_unansweredOrders[order.worker] >= maximumUnansweredOrders)
-        m_assignedRelays.erase(order.worker);
+    auto& worker = m_workers[order.worker];
+    worker.needsOtherRelay = ++worker.consecutiveUnansweredOrders >= maximumUnansweredOrders;
     protocol::RunReply noAnswer;
     noAnswer.set_outcome(static_cast<int>(external::order_outcome::NoAnswer));
     const auto complete = order.complete;
--- a/src/tasks/coordinator/relayed_run_control.h
+++ b/src/tasks/coordinator/relayed_run_control.h
@@ -9,6 +9,7 @@
 #include "external/run_control.h"
 #include "jobs/relay_choice.h"
 #include "protocol/jobs.pb.h"
+#include "tasks/coordinator/lateness_report.h"
 #include "transport/event_loop.h"
 
 namespace camphorsaddle::tasks {
@@ -22,7 +23,7 @@
 //! workers itself.
 class relayed_run_control final : public external::run_control {
 public:
-    relayed_run_control(transport::event_loop& loop, external::run_control& directControl, std::string replyEndpoint, send_function send);
+    relayed_run_control(transport::event_loop& loop, external::run_control& directControl, std::string replyEndpoint, send_function send, relayed_order_counters& counters);
     ~relayed_run_control() override;
 
     //! \brief Records that a daemon announced itself as a relay.
@@ -46,6 +47,13 @@
         jobs::relay_daemon relay;
         utils::time_point lastHeardAt;
     };
+    struct relayed_worker {
+        std::string dataCentre;
+        //! Endpoint of the worker's relay, kept as long as that relay is known; empty before the first order.
+        std::string relayEndpoint;
+        unsigned consecutiveUnansweredOrders = 0;
+        bool needsOtherRelay = false;
+    };
     struct open_order {
         std::string relayEndpoint;
         utils::time_point deadline;
@@ -56,7 +64,7 @@
     };
 
     //! \brief Endpoint of the relay for a worker; empty without relays.
-    std::string relayForWorker(const std::string& worker);
+    std::string relayForWorker(const std::string& id);
     void enqueue(const std::string& relayEndpoint, protocol::RunOrder order, utils::milliseconds wait, std::function<void(const protocol::RunReply&, bool isLate)> complete);
     //! \brief Reports an order as unanswered; after several in a row another relay is chosen for the worker.
     void reportUnanswered(open_order& order);
@@ -66,13 +74,10 @@
     external::run_control& m_directControl;
     std::string m_replyEndpoint;
     send_function m_send;
+    relayed_order_counters& m_counters;
     transport::timer m_flushTimer;
     std::map<std::string, known_relay> m_relays;
-    std::map<std::string, std::string> m_workerDataCentres;
-    //! Endpoint of the relay of each worker, kept as long as that relay is known.
-    std::map<std::string, std::string> m_assignedRelays;
-    //! Number of consecutive unanswered orders by worker.
-    std::map<std::string, unsigned> m_unansweredOrders;
+    std::map<std::string, relayed_worker> m_workers;
     std::map<std::uint64_t, open_order> m_openOrders;
     std::map<std::string, protocol::RunOrders> m_queuedOrders;
     std::uint64_t m_nextTicket = 1;
--- a/tests/auto/tasks/tst_metrics_page.cpp
+++ b/tests/auto/tasks/tst_metrics_page.cpp
@@ -5,6 +5,7 @@
 #include "access/access_policy.h"
 #include "external/guarded_store.h"
 #include "external/store_call.h"
+#include "tasks/coordinator/lateness_report.h"
 #include "tasks/gateway/minion_table.h"
 #include "tasks/gateway/request_state.h"
 #include "gtest/gtest.h"
@@ -34,11 +35,8 @@
         }
     }
 
-    TEST(metrics_page, ListsEachMetricOfTheGateway)
+    int expectNames(const utils::metric_registry& registry)
     {
-        utils::metric_registry registry;
-        const gateway_metrics gateway(registry);
-        const minion_table minions({}, 0, {}, registry);
         const std::string page = readPage();
         std::istringstream lines(registry.render());
         int metrics = 0;
@@ -50,7 +48,23 @@
             EXPECT_NE(page.find("| `" + name), std::string::npos) << name;
             ++metrics;
         }
-        EXPECT_GE(metrics, 11);
+        return metrics;
+    }
+
+    TEST(metrics_page, ListsEachMetricOfTheGateway)
+    {
+        utils::metric_registry registry;
+        const gateway_metrics gateway(registry);
+        const minion_table minions({}, 0, {}, registry);
+        EXPECT_GE(expectNames(registry), 11);
+    }
+
+    TEST(metrics_page, ListsEachMetricOfTheCoordinator)
+    {
+        utils::metric_registry registry;
+        const relayed_order_counters counters(registry);
+        const lateness_report report(registry, counters, utils::milliseconds(50));
+        EXPECT_EQ(expectNames(registry), 5);
     }
 
     TEST(metrics_page, ListsEachReason)
