Coordinator: Give up orders only after reading what had arrived

A delay made work that made the next delay.

Cause: the timer that looks for overdue orders runs before the replies that wait in the socket are read (libev runs the timers of a turn first, and the receiver reads at most 256 messages a turn), and compares time limits with the clock. The same for silent relays and for calls that a follower has forwarded.

- io_watcher has a higher priority than timer, so that I/O comes first in each turn.
- message_receiver tells up to which time it has passed on everything that had arrived.
It looks for messages at each tick, too, as silence moves that time only then.
- expireOrders and the new class forwarded_calls compare limits with that time instead of the clock.

The leader's own lease and maySendOrders still go by the clock: a leader that was late for too long must not act.

Not covered: a process that is stopped as a whole, whose ZeroMQ thread may need a moment after the loop runs again.

--- a/src/libs/transport/event_loop.cpp
+++ b/src/libs/transport/event_loop.cpp
@@ -9,6 +9,9 @@
         return std::chrono::duration<double>(duration).count();
     }
 
+    // After a delay, what has arrived is read before the timers of the same turn decide that it is missing.
+    constexpr int ioPriority = EV_MAXPRI;
+
 } // namespace
 
 event_loop::event_loop()
@@ -93,6 +96,7 @@
     , m_callback(std::move(callback))
 {
     ev_io_init(&m_watcher, &io_watcher::onEvent, -1, 0);
+    ev_set_priority(&m_watcher, ioPriority);
     m_watcher.data = this;
 }
 
--- a/src/libs/transport/event_loop.h
+++ b/src/libs/transport/event_loop.h
@@ -37,6 +37,8 @@
 };
 
 //! \brief A timer on an event loop; calls a function once or repeatedly.
+//!
+//! In each turn of the loop, timers run after the io_watchers.
 class timer {
 public:
     timer(event_loop& loop, std::function<void()> callback);
--- a/src/libs/transport/mailbox.cpp
+++ b/src/libs/transport/mailbox.cpp
@@ -37,6 +37,11 @@
     return m_socket.get(zmq::sockopt::last_endpoint);
 }
 
+utils::time_point message_receiver::emptiedAt() const
+{
+    return m_emptiedAt;
+}
+
 // The descriptor is edge-triggered, so messages are read until the socket is empty; the rest of a large batch is read on a
 // zero timeout.
 void message_receiver::receiveMessages()
@@ -44,8 +49,11 @@
     const auto callback = m_callback;
     for (int count = 0; count < maximumMessagesPerWakeup; ++count) {
         zmq::message_t message;
-        if (!m_socket.recv(message, zmq::recv_flags::dontwait))
+        const auto checkedAt = utils::nowIncludingSuspend();
+        if (!m_socket.recv(message, zmq::recv_flags::dontwait)) {
+            m_emptiedAt = checkedAt;
             return;
+        }
         (*callback)(std::move(message));
         if (callback.use_count() == 1)
             return;
--- a/src/libs/transport/mailbox.h
+++ b/src/libs/transport/mailbox.h
@@ -22,14 +22,20 @@
     //! \brief The endpoint with the actual port.
     std::string endpoint() const;
 
-private:
+    //! \brief Reads waiting messages, at most as many as in one turn of the loop.
     void receiveMessages();
+    //! \brief Time up to which every message that had arrived has been passed to the callback.
+    //!
+    //! Advances only when messages are looked for: after each arrival and by receiveMessages().
+    utils::time_point emptiedAt() const;
 
+private:
     zmq::socket_t m_socket;
     //! receiveMessages() holds a reference while it runs, because the callback may destroy the receiver.
     std::shared_ptr<const std::function<void(zmq::message_t)>> m_callback;
     io_watcher m_watcher;
     timer m_continueTimer;
+    utils::time_point m_emptiedAt;
 };
 
 //! \brief Sends raw messages to a message_receiver without blocking. Not thread-safe.
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -11,18 +11,10 @@
 namespace {
 
     constexpr utils::milliseconds tickInterval { 50 };
-    // A leader replies within a few milliseconds plus a round trip of up to 25 ms; its store replies within a second even
-    // when it is slow.
-    constexpr utils::milliseconds leaderReplyTimeout { 700 };
     constexpr utils::milliseconds helloInterval { 500 };
 
 } // namespace
 
-struct coordinator_task::forwarded_call {
-    job_call call;
-    utils::time_point sentAt;
-};
-
 coordinator_task::coordinator_task(job_daemon_context& context, job_daemon_settings settings, const deployment_adapter& deployment)
     : m_context(context)
     , m_settings(std::move(settings))
@@ -153,11 +145,7 @@
 
 void coordinator_task::forwardToLeader(const job_call& call)
 {
-    auto forwardedCall = call;
-    forwardedCall.ticket = m_nextTicket++;
-    forwardedCall.timeout = std::min(call.timeout, leaderReplyTimeout);
-    m_forwardedCalls[forwardedCall.ticket] = { call, utils::nowIncludingSuspend() };
-    send(m_election->leader()->endpoint, encodeCall(forwardedCall, m_settings.peerEndpoint));
+    send(m_election->leader()->endpoint, encodeCall(m_forwardedCalls.add(call, utils::nowIncludingSuspend()), m_settings.peerEndpoint));
 }
 
 void coordinator_task::handleWithoutLeader(job_call call, bool mayBeStored)
@@ -232,20 +220,18 @@
 void coordinator_task::onPeerReply(const protocol::CoordinatorReply& message)
 {
     auto reply = decodeReply(message);
-    const auto found = m_forwardedCalls.find(reply.ticket);
-    if (found == m_forwardedCalls.end())
+    const auto call = m_forwardedCalls.take(reply.ticket);
+    if (!call)
         return;
-    const auto call = found->second.call;
-    m_forwardedCalls.erase(found);
     const bool isUndecided = reply.outcome == call_outcome::NotLeader || reply.outcome == call_outcome::Indeterminate;
     if (reply.outcome == call_outcome::NotLeader)
         m_election->checkLeader();
     // The leader may not have adopted a job yet that was stored without it.
-    if (isUndecided || (reply.outcome == call_outcome::NotFound && call.kind != call_kind::Pending)) {
-        handleWithoutLeader(call, reply.outcome == call_outcome::Indeterminate);
+    if (isUndecided || (reply.outcome == call_outcome::NotFound && call->kind != call_kind::Pending)) {
+        handleWithoutLeader(*call, reply.outcome == call_outcome::Indeterminate);
         return;
     }
-    reply.ticket = call.ticket;
+    reply.ticket = call->ticket;
     postReply(reply);
 }
 
@@ -270,18 +256,14 @@
     sendHello(now);
     m_rulesFollower->tick(now);
     postRulesState();
-    m_relayedControl->expireOrders(now);
-    std::vector<job_call> timedOutCalls;
-    for (const auto& [ticket, forwarded] : m_forwardedCalls) {
-        if (now > forwarded.sentAt + std::min(leaderReplyTimeout, forwarded.call.timeout / 2))
-            timedOutCalls.push_back(forwarded.call);
-    }
-    std::erase_if(m_forwardedCalls, [&](const auto& entry) { return now > entry.second.sentAt + std::min(leaderReplyTimeout, entry.second.call.timeout / 2); });
-    for (auto& call : timedOutCalls) {
+    // Not the present time: messages that have arrived meanwhile may still wait to be read.
+    const auto readUntil = m_peerReceiver->emptiedAt();
+    m_relayedControl->expireOrders(readUntil);
+    for (const auto& call : m_forwardedCalls.takeOverdue(readUntil)) {
         utils::logEvent(utils::events::leaderSilent, { { "job", call.subject }, { "leader", m_election->leader() ? m_election->leader()->daemon : "" } });
-        call.timeout -= std::min(leaderReplyTimeout, call.timeout / 2);
         handleWithoutLeader(call, true);
     }
+    m_peerReceiver->receiveMessages();
     const bool canServe = m_rulesFollower->rules() != nullptr && !m_isShuttingDown && (m_election->isStoreReachable() || m_election->leader() || m_term != nullptr);
     if (canServe != m_canServe) {
         m_canServe = canServe;
--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -6,6 +6,7 @@
 
 #include "protocol/jobs.pb.h"
 #include "tasks/coordinator/coordinator_messages.h"
+#include "tasks/coordinator/forwarded_calls.h"
 #include "tasks/coordinator/job_daemon_settings.h"
 #include "tasks/coordinator/lateness_report.h"
 #include "tasks/coordinator/leader_term.h"
@@ -31,8 +32,6 @@
     void close() override;
 
 private:
-    struct forwarded_call;
-
     void onMessage(const coordinator_message& message);
     void onPeerMessage(zmq::message_t raw);
     void onLeadershipChanged();
@@ -67,8 +66,7 @@
     std::map<std::string, std::unique_ptr<transport::message_sender>> m_peerSenders;
     std::shared_ptr<leader_term> m_term;
     transport::timer m_tickTimer;
-    std::map<std::uint64_t, forwarded_call> m_forwardedCalls;
-    std::uint64_t m_nextTicket = 1;
+    forwarded_calls m_forwardedCalls;
     utils::time_point m_lastHelloSentAt;
     rules_state m_postedRulesState;
     bool m_canServe = false;
--- a/src/tasks/coordinator/relayed_run_control.cpp
+++ b/src/tasks/coordinator/relayed_run_control.cpp
@@ -150,19 +150,19 @@
     }
 }
 
-void relayed_run_control::expireOrders(utils::time_point now)
+void relayed_run_control::expireOrders(utils::time_point readUntil)
 {
     std::vector<std::string> silentRelays;
     for (const auto& [endpoint, knownRelay] : m_relays) {
-        if (now > knownRelay.lastHeardAt + relaySilenceTimeout)
+        if (readUntil > knownRelay.lastHeardAt + relaySilenceTimeout)
             silentRelays.push_back(endpoint);
     }
     for (const auto& endpoint : silentRelays)
         dropRelay(endpoint);
-    std::erase_if(m_openOrders, [&](const auto& entry) { return entry.second.isReportedUnanswered && now > entry.second.deadline; });
+    std::erase_if(m_openOrders, [&](const auto& entry) { return entry.second.isReportedUnanswered && readUntil > entry.second.deadline; });
     std::vector<std::uint64_t> overdueOrders;
     for (const auto& [ticket, order] : m_openOrders) {
-        if (!order.isReportedUnanswered && now > order.deadline)
+        if (!order.isReportedUnanswered && readUntil > order.deadline)
             overdueOrders.push_back(ticket);
     }
     for (const auto ticket : overdueOrders) {
--- a/src/tasks/coordinator/relayed_run_control.h
+++ b/src/tasks/coordinator/relayed_run_control.h
@@ -35,7 +35,9 @@
     //! \brief Forgets all open orders and relays without calling back.
     void reset();
     //! \brief Reports overdue orders as unanswered and drops silent relays; must be called regularly.
-    void expireOrders(utils::time_point now);
+    //!
+    //! \a readUntil is the time up to which all messages that had arrived were handled.
+    void expireOrders(utils::time_point readUntil);
 
     void start(const external::worker_address& worker, const external::run_order& order, std::function<void(external::order_reply)> callback) override;
     void stop(const external::worker_address& worker, const external::run_id& run, std::uint64_t fence, std::function<void(external::order_reply)> callback) override;
