--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -6,7 +6,9 @@
 
 #include "protocol/jobs.pb.h"
 #include "tasks/coordinator/coordinator_messages.h"
+#include "tasks/coordinator/forwarded_calls.h"
 #include "tasks/coordinator/job_daemon_settings.h"
+#include "tasks/coordinator/lateness_report.h"
 #include "tasks/coordinator/leader_term.h"
 #include "tasks/coordinator/leaderless_call_handler.h"
 #include "tasks/coordinator/relayed_run_control.h"
@@ -30,8 +32,6 @@
     void close() override;
 
 private:
-    struct forwarded_call;
-
     void onMessage(const coordinator_message& message);
     void onPeerMessage(zmq::message_t raw);
     void onLeadershipChanged();
@@ -55,6 +55,8 @@
     std::unique_ptr<transport::http_client> m_httpClient;
     std::unique_ptr<external::transactional_store> m_store;
     std::unique_ptr<external::run_control> m_runControl;
+    relayed_order_counters m_orderCounters;
+    lateness_report m_latenessReport;
     std::unique_ptr<relayed_run_control> m_relayedControl;
     std::unique_ptr<order_relay> m_orderRelay;
     std::unique_ptr<leader_election> m_election;
@@ -64,8 +66,7 @@
     std::map<std::string, std::unique_ptr<transport::message_sender>> m_peerSenders;
     std::shared_ptr<leader_term> m_term;
     transport::timer m_tickTimer;
-    std::map<std::uint64_t, forwarded_call> m_forwardedCalls;
-    std::uint64_t m_nextTicket = 1;
+    forwarded_calls m_forwardedCalls;
     utils::time_point m_lastHelloSentAt;
     rules_state m_postedRulesState;
     bool m_canServe = false;
