Jobs: Judge the progress of runs by their worker's clock

Cause: the time that a run had worked was taken from the times at which the leader handled the start reply and the last answer of the worker, also an answer to another order. With replies handled late, a run had worked for seconds at 0% because no report of it had been handled yet, or an old progress was divided by a time that included the delay. Durations of ended runs had the same error.

Now the worker's clock in the start reply, the report and the pace reply tells how long a run has worked, and a run is judged only by a report whose observation was sent at most 2.5 s ago (two long polls and their answers). A pause by the leader itself no longer counts as time without progress. The log line has the bounds of the report's age.

Real stalls are still found: job_engine hangingWorker.

--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -34,6 +34,7 @@
     worker.announcedAt = {};
     worker.capacityRefusedUntil = {};
     worker.clock = 0;
+    worker.reportClock = 0;
     worker.acknowledgedEnd = 0;
     worker.lastEnd = 0;
     worker.unstoredRunEnds.clear();
@@ -84,6 +85,11 @@
     }
     const bool isInOrder = workerState.clock >= worker.clock;
     updateClock(worker, workerState.clock, now);
+    if (isInOrder) {
+        worker.reportClock = workerState.clock;
+        worker.reportSentAt = sentAt;
+        worker.reportHandledAt = now;
+    }
     if (!worker.hasAcceptedTerm || worker.unansweredObserves > 0)
         reportEvent(engine_event_kind::WorkerSeen, worker, absl::StrCat("running=", workerState.running.size(), " ended=", workerState.ended.size(), " silences=", worker.unansweredObserves));
     worker.unansweredObserves = 0;
@@ -133,6 +139,7 @@
         run = &openRun(*job, report.run.task.step, report.run.task.index, worker, report.run.number, now);
         run->phase = run_phase::Running;
         run->runningSince = now;
+        run->startClock = worker.reportClock;
         run->initialPercent = report.percent;
         run->isPaceKnown = false;
         run->isAdopted = true;
@@ -146,15 +153,18 @@
         run->phase = run_phase::Running;
         run->phaseSince = now;
         run->runningSince = now;
+        run->startClock = worker.reportClock;
         reportEvent(engine_event_kind::RunAdopted, *run, "the start order took effect without an answer");
         if (run->job->phase == job_phase::Queued)
             run->job->phase = job_phase::Running;
     }
+    if (run->phase == run_phase::Running && run->startClock == 0)
+        run->startClock = worker.reportClock;
     if (run->initialPercent < 0)
         run->initialPercent = report.run.number > 1 && !run->checkpoint.empty() ? report.percent : 0;
     if (report.percent != run->percent) {
         run->percent = report.percent;
-        run->percentChangedAt = now;
+        run->progressClock = worker.reportClock;
     }
     run->load = report.load;
     if (!report.checkpoint.empty())
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -34,7 +34,6 @@
     run->image = job.steps[step].image;
     run->worker = &worker;
     run->phaseSince = now;
-    run->percentChangedAt = now;
     task.lastRun = std::max(task.lastRun, number);
     auto charge = spec.taskResources;
     if (spec.isBestEffort) {
@@ -204,8 +203,8 @@
     if (run != nullptr) {
         if (!end.checkpoint.empty())
             run->checkpoint = end.checkpoint;
-        const auto duration = static_cast<double>(std::chrono::duration_cast<utils::milliseconds>(now - run->runningSince).count());
-        const bool isFullRun = run->runningSince != utils::time_point() && run->initialPercent <= 0 && run->pace == 100 && !spec.isLongRunning;
+        const auto duration = static_cast<double>(worker.reportClock - run->startClock);
+        const bool isFullRun = run->startClock != 0 && worker.reportClock > run->startClock && run->initialPercent <= 0 && run->pace == 100 && !spec.isLongRunning;
         if (end.cause == external::end_cause::Done && isFullRun) {
             if (step.durationCount > 0)
                 slowness = duration / (step.durationSum / step.durationCount);
@@ -269,7 +268,7 @@
     case external::order_outcome::Accepted:
         worker.answeredAt = now;
         run->runningSince = now;
-        run->percentChangedAt = now;
+        run->startClock = reply.clock;
         if (!isStopping) {
             run->phase = run_phase::Running;
             run->phaseSince = now;
@@ -352,6 +351,7 @@
         return;
     run->isPaceOrderPending = false;
     run->paceChangedAt = now;
+    run->paceClock = std::max(run->paceClock, reply.clock);
     if (reply.outcome != external::order_outcome::Accepted)
         return;
     run->pace = percent;
--- a/src/libs/jobs/job_engine_stalls.cpp
+++ b/src/libs/jobs/job_engine_stalls.cpp
@@ -36,6 +36,24 @@
     constexpr int minimumSiblingPercent = 10;
     // A task that stalled on this many workers is probably just longer than its siblings.
     constexpr std::size_t maximumMoves = 3;
+    // Two long polls and the answers to them. An older report doesn't tell what a run does now.
+    constexpr utils::milliseconds maximumReportAge { 2500 };
+
+    bool hasRecentReport(const worker_state& worker, utils::time_point now)
+    {
+        return now <= worker.reportSentAt + maximumReportAge;
+    }
+
+    //! For how long the run had worked, by its worker's clock, when its progress was reported.
+    utils::milliseconds observedTime(const run_state& run)
+    {
+        return utils::milliseconds(run.startClock == 0 ? 0 : run.worker->reportClock - run.startClock);
+    }
+
+    std::string describeReport(const run_state& run, utils::time_point now)
+    {
+        return absl::StrCat("; report_age_ms=", millisecondsBetween(run.worker->reportHandledAt, now).count(), "..", millisecondsBetween(run.worker->reportSentAt, now).count());
+    }
 
 } // namespace
 
@@ -66,10 +84,9 @@
 
 std::optional<std::string> job_engine::longRunningFailureReason(const run_state& run, utils::time_point now) const
 {
-    const auto since = run.runningSince + longRunningStartTimeout;
-    if (run.percent == 100 || now < since || run.worker->answeredAt < since)
+    if (run.percent == 100 || !hasRecentReport(*run.worker, now) || observedTime(run) < longRunningStartTimeout)
         return std::nullopt;
-    return "it did not start serving in time";
+    return absl::StrCat("it did not start serving in time", describeReport(run, now));
 }
 
 std::optional<std::string> job_engine::bestEffortStallReason(run_state& run, task_state& task, utils::time_point now)
@@ -87,31 +104,31 @@
             return std::nullopt;
         }
     }
-    const bool isStalled = run.pace > 0 && now - run.percentChangedAt > bestEffortStallTimeout && run.worker->answeredAt > run.percentChangedAt + bestEffortStallTimeout / 2;
-    return isStalled ? std::optional(absl::StrCat("it makes no progress at ", run.percent, "%")) : std::nullopt;
+    const utils::milliseconds withoutProgress(run.worker->reportClock - std::max({ run.startClock, run.progressClock, run.paceClock }));
+    const bool isStalled = run.startClock != 0 && run.pace > 0 && hasRecentReport(*run.worker, now) && withoutProgress > bestEffortStallTimeout;
+    return isStalled ? std::optional(absl::StrCat("it makes no progress at ", run.percent, "%", describeReport(run, now))) : std::nullopt;
 }
 
 // Compares a run with completed or running tasks of the same step, because callers' estimates are off by up to ten
 // times.
 std::optional<std::string> job_engine::batchStallReason(const run_state& run, utils::time_point now) const
 {
-    if (now < run.runningSince + stalledMargin)
+    const auto elapsed = observedTime(run);
+    if (!hasRecentReport(*run.worker, now) || elapsed < stalledMargin)
         return std::nullopt;
     const auto& step = run.job->steps[run.step];
     const auto siblings = siblingDuration(run);
     const double expected = siblings.value_or(static_cast<double>(expectedDuration(*run.job, run.step).count()));
     const double factor = siblings || step.durationCount > 0 ? stalledFactor : stalledFactorWithoutSiblings;
-    const auto elapsed = millisecondsBetween(run.runningSince, now);
     if (static_cast<double>(elapsed.count()) < expected * 0.5 + static_cast<double>(stalledMargin.count()))
         return std::nullopt;
     const int gained = run.percent - std::max(run.initialPercent, 0);
-    const auto observedFor = static_cast<double>(millisecondsBetween(run.runningSince, run.worker->answeredAt).count());
-    // The progress is that of the worker's last answer.
-    const double sinceReport = static_cast<double>(millisecondsBetween(run.worker->answeredAt, now).count());
-    const double remainingDuration = gained > 0 ? observedFor * (100 - run.percent) / gained - sinceReport : expected * factor + static_cast<double>(elapsed.count());
+    const auto worked = static_cast<double>(elapsed.count());
+    const auto sinceReport = static_cast<double>(millisecondsBetween(run.worker->reportHandledAt, now).count());
+    const double remainingDuration = gained > 0 ? worked * (100 - run.percent) / gained - sinceReport : expected * factor + worked;
     if (remainingDuration < expected * factor + static_cast<double>(stalledMargin.count()))
         return std::nullopt;
-    return absl::StrCat("it is stalled at ", run.percent, "% after ", elapsed.count(), " ms; expected duration in ms: ", static_cast<int>(expected));
+    return absl::StrCat("it is stalled at ", run.percent, "% after ", elapsed.count(), " ms; expected duration in ms: ", static_cast<int>(expected), describeReport(run, now));
 }
 
 std::optional<double> job_engine::siblingDuration(const run_state& run) const
@@ -123,9 +140,10 @@
     for (const auto& task : step.tasks) {
         for (const auto& other : task.runs) {
             const int gained = other->percent - std::max(other->initialPercent, 0);
-            if (other->worker == run.worker || other->phase != run_phase::Running || gained < minimumSiblingPercent)
+            const auto worked = observedTime(*other);
+            if (other->worker == run.worker || other->phase != run_phase::Running || gained < minimumSiblingPercent || worked.count() <= 0)
                 continue;
-            durations.push_back(static_cast<double>(millisecondsBetween(other->runningSince, other->worker->answeredAt).count()) * 100 / gained);
+            durations.push_back(static_cast<double>(worked.count()) * 100 / gained);
         }
     }
     if (durations.size() < minimumSiblings)
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -42,12 +42,15 @@
     utils::time_point phaseSince;
     //! When the worker confirmed that the run has started.
     utils::time_point runningSince;
+    //! The worker's clock when it confirmed the start; 0 before.
+    external::worker_time startClock = 0;
     std::string checkpoint;
     //! Last reported progress.
     int percent = 0;
     //! Progress at the start of the run, which a checkpoint raises; -1 until the first report.
     int initialPercent = -1;
-    utils::time_point percentChangedAt;
+    //! The worker's clock when it first reported this progress.
+    external::worker_time progressClock = 0;
     //! Last reported load: tail latency in ms of a service task, else processors in use in thousandths of a core.
     std::int64_t load = 0;
     //! Share of its speed that the run is limited to, percent.
@@ -55,6 +58,8 @@
     //! Whether this leader knows the pace. False for an adopted run, whose pace a former leader may have set.
     bool isPaceKnown = true;
     utils::time_point paceChangedAt;
+    //! The worker's clock when it changed the pace last.
+    external::worker_time paceClock = 0;
     bool isPaceOrderPending = false;
     //! When the last search for a better worker took place.
     utils::time_point workerSearchedAt;
@@ -187,6 +192,12 @@
     utils::time_point leaseExpiresAt;
     //! When it last answered an observation or accepted a start.
     utils::time_point answeredAt;
+    //! The worker's clock in the newest report of its runs.
+    external::worker_time reportClock = 0;
+    //! When the observation that brought this report was sent, and when it was handled. The report is no older than the
+    //! former, and may be much older than the latter.
+    utils::time_point reportSentAt;
+    utils::time_point reportHandledAt;
     //! Numbers of the last acknowledged and the last received end of a run.
     std::uint64_t acknowledgedEnd = 0;
     std::uint64_t lastEnd = 0;
--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -55,7 +55,7 @@
 simulated_fleet::simulated_fleet(std::uint64_t seed)
     : m_now(utils::time_point() + std::chrono::hours(1))
     , m_random(seed)
-    , m_engine(std::make_unique<job_engine>(engine_settings {}, 1, [](const engine_event&) {}))
+    , m_engine(std::make_unique<job_engine>(engine_settings {}, 1, [this](const engine_event& event) { checkEvent(event); }))
 {
     setRules(defaultRules());
     m_engine->beginTerm({}, m_now);
@@ -72,7 +72,7 @@
     auto& worker = m_workers[id];
     worker = std::make_unique<fake_worker>();
     worker->description = { id, "address of " + id, "service", "dc", "rack", { "a", "rack" }, capacity, false, utils::milliseconds(0), 1 };
-    m_engine->announceWorker(worker->description, m_now);
+    announce(worker->description);
     return *worker;
 }
 
@@ -84,8 +84,10 @@
     worker = fake_worker();
     worker.description = description;
     ++worker.description.incarnation;
+    worker.description.isDraining = false;
+    m_drainingSince.erase(id);
     if (!m_hasEntryRenewal)
-        m_engine->announceWorker(worker.description, m_now);
+        announce(worker.description);
 }
 
 void simulated_fleet::setCapacity(const std::string& id, model::resources capacity)
@@ -110,7 +112,7 @@
         return;
     worker.description.renewedAt = workerClock();
     m_entries[id] = worker.description;
-    m_engine->announceWorker(worker.description, m_now);
+    announce(worker.description);
 }
 
 bool simulated_fleet::rejectsOverload() const
@@ -155,10 +157,10 @@
         former.faults.isDown = false;
         former.faults.isReplaced = true;
         m_removedWorkers.insert(id);
-        m_engine->withdrawWorker(id, m_now);
+        withdraw(id);
         auto& replacement = addWorker(absl::StrCat("replacement", ++m_replacementCount), former.description.capacity);
         replacement.description.endpoint = former.description.endpoint;
-        m_engine->announceWorker(replacement.description, m_now);
+        announce(replacement.description);
     });
 }
 
@@ -171,17 +173,22 @@
 void simulated_fleet::cancel(const std::string& id)
 {
     m_cancelledJobs.insert(id);
-    m_cancelledAt[id] = m_now;
-    m_engine->cancel(id, m_now);
+    m_cancelledAt.try_emplace(id, m_now);
+    handleInput(leader_input::Cancellation, [this, id] {
+        m_cancellationHandledAt.try_emplace(id, m_now);
+        m_engine->cancel(id, m_now);
+    });
 }
 
 void simulated_fleet::changeLeader(bool isPlanned)
 {
     const auto ended = m_engine->endTerm(m_now);
-    m_engine = std::make_unique<job_engine>(engine_settings {}, ++m_term, [](const engine_event&) {});
+    m_engine = std::make_unique<job_engine>(engine_settings {}, ++m_term, [this](const engine_event& event) { checkEvent(event); });
     m_engine->setRules(m_rules);
     for (const auto& [id, job] : m_jobs)
         m_engine->restore(job, m_progress[id], m_cancelledJobs.contains(id), m_now);
+    for (const auto& id : m_cancelledJobs)
+        m_cancellationHandledAt.try_emplace(id, m_now);
     m_engine->beginTerm(isPlanned ? ended : worker_roster { m_roster, 0, {} }, m_now);
     for (const auto& [id, worker] : m_workers) {
         if (!m_removedWorkers.contains(id))
@@ -195,7 +202,7 @@
     worker.faults.isUnresponsive = true;
     worker.running.clear();
     m_removedWorkers.insert(id);
-    m_engine->withdrawWorker(id, m_now);
+    withdraw(id);
 }
 
 external::worker_time simulated_fleet::workerClock() const
@@ -230,6 +237,11 @@
 void simulated_fleet::step()
 {
     m_now += tick;
+    // After a pause, timers run before what has arrived is handled.
+    if (m_lag && m_now >= m_nextDecision) {
+        m_nextDecision = m_lag->handledAt(leader_input::Decision, m_now + tick);
+        decide();
+    }
     while (!m_events.empty() && m_events.front().at <= m_now) {
         std::ranges::pop_heap(m_events, std::greater());
         const auto action = std::move(m_events.back().action);
@@ -238,10 +250,8 @@
     }
     for (auto& [id, worker] : m_workers)
         endRuns(*worker);
-    for (const auto& command : m_engine->decideCommands(m_now)) {
-        ++m_commandCount;
-        execute(command);
-    }
+    if (!m_lag)
+        decide();
     storeProgress();
     checkStepCounts();
     for (const auto& known : m_jobs) {
@@ -255,6 +265,14 @@
     }
 }
 
+void simulated_fleet::decide()
+{
+    for (const auto& command : m_engine->decideCommands(m_now)) {
+        ++m_commandCount;
+        execute(command);
+    }
+}
+
 void simulated_fleet::checkStepCounts()
 {
     std::set<const job_state*> jobs;
--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "jobs/job_engine.h"
+#include "jobs/simulated_lag.h"
 
 namespace camphorsaddle::jobs::test {
 
@@ -44,6 +45,7 @@
     struct fake_run {
         external::run_id run;
         utils::time_point endsAt;
+        utils::time_point startedAt;
         bool isLongRunning = false;
         int pace = 100;
     };
@@ -112,6 +114,12 @@
     {
         return m_runsLostInCrashes;
     }
+    //! \brief Has the worker's entry say that it drains.
+    void drainWorker(const std::string& id);
+    //! \brief Has the leader handle its input late.
+    void setLag(simulated_lag lag);
+    //! \brief Duration of the tasks that end by themselves, and time after which a long-running task serves.
+    void setTaskTimes(utils::milliseconds batch, utils::milliseconds startup);
     void setRules(deployment_rules rules);
     //! \brief Starts the term of another leader from the stored state, after a crash or a planned handover of the
     //! former one.
@@ -143,6 +151,12 @@
 
     static constexpr utils::milliseconds taskTime { 400 };
     static constexpr utils::milliseconds entryRenewalInterval { 1500 };
+    //! Time in which a worker answers an order or the order counts as unanswered.
+    static constexpr utils::milliseconds orderTimeout { 650 };
+    //! Times within which no task may be started any more after a worker's entry says that it drains, and after the
+    //! cancellation of its job was stored.
+    static constexpr utils::milliseconds drainTime { 2500 };
+    static constexpr utils::milliseconds cancellationTime { 3000 };
     //! Time for which a start may rely on a capacity that has shrunk: the contact time and a renewal.
     static constexpr utils::milliseconds formerCapacityTime { 5500 };
 
@@ -160,6 +174,16 @@
 
     void schedule(utils::milliseconds delay, std::function<void()> action);
     void step();
+    void decide();
+    //! \brief Has the current leader handle an input that arrives now.
+    void handleInput(leader_input kind, std::function<void()> action);
+    //! \brief The same for a reply, which counts as missing if it is handled after its time limit.
+    void handleReply(leader_input kind, utils::time_point deadline, std::function<void(bool isLate)> handle, std::function<void()> giveUp);
+    void announce(const worker_description& worker);
+    void withdraw(const std::string& worker);
+    void checkStartTime(const start_command& command);
+    void checkEvent(const engine_event& event);
+    bool isProgressing(const engine_event& event) const;
     void execute(const engine_command& command);
     void start(const start_command& command);
     external::order_reply apply(fake_worker& worker, const external::run_order& order);
@@ -191,6 +215,14 @@
     std::map<std::string, job_progress> m_progress;
     std::set<std::string> m_cancelledJobs;
     std::map<std::string, utils::time_point> m_cancelledAt;
+    //! When the leader was told of the cancellation.
+    std::map<std::string, utils::time_point> m_cancellationHandledAt;
+    //! Since when the entries of workers say that they drain.
+    std::map<std::string, utils::time_point> m_drainingSince;
+    std::optional<simulated_lag> m_lag;
+    utils::time_point m_nextDecision;
+    utils::milliseconds m_batchTime = taskTime;
+    utils::milliseconds m_startupTime { 0 };
     std::vector<std::string> m_roster;
     bool m_isStoreDown = false;
     bool m_hasEntryRenewal = false;
--- /dev/null
+++ b/tests/auto/jobs/simulated_fleet_lag.cpp
@@ -0,0 +1,113 @@
+#include <algorithm>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "jobs/simulated_fleet.h"
+
+namespace camphorsaddle::jobs::test {
+
+namespace {
+
+    // A reply that is handled later than this after its time limit is dropped.
+    constexpr utils::milliseconds lateReplyWindow { 6000 };
+
+} // namespace
+
+void simulated_fleet::setLag(simulated_lag lag)
+{
+    m_lag = std::move(lag);
+    m_nextDecision = m_now;
+}
+
+void simulated_fleet::setTaskTimes(utils::milliseconds batch, utils::milliseconds startup)
+{
+    m_batchTime = batch;
+    m_startupTime = startup;
+}
+
+void simulated_fleet::drainWorker(const std::string& id)
+{
+    auto& worker = *m_workers.at(id);
+    worker.description.isDraining = true;
+    m_drainingSince.try_emplace(id, m_now);
+    announce(worker.description);
+}
+
+void simulated_fleet::handleInput(leader_input kind, std::function<void()> action)
+{
+    if (!m_lag) {
+        action();
+        return;
+    }
+    const auto delay = std::chrono::duration_cast<utils::milliseconds>(m_lag->handledAt(kind, m_now) - m_now);
+    schedule(delay, [this, term = m_term, action = std::move(action)] {
+        if (term == m_term)
+            action();
+    });
+}
+
+void simulated_fleet::handleReply(leader_input kind, utils::time_point deadline, std::function<void(bool isLate)> handle, std::function<void()> giveUp)
+{
+    if (!m_lag) {
+        handle(false);
+        return;
+    }
+    const auto inTerm = [this, term = m_term](const std::function<void()>& action) {
+        if (term == m_term)
+            action();
+    };
+    const auto until = [this](utils::time_point at) {
+        return std::chrono::duration_cast<utils::milliseconds>(at - m_now);
+    };
+    const auto handledAt = m_lag->handledAt(kind, m_now);
+    const bool isLate = handledAt > deadline;
+    if (isLate)
+        schedule(until(std::min(handledAt, m_lag->firesAt(std::max(deadline, m_now)))), [inTerm, giveUp = std::move(giveUp)] { inTerm(giveUp); });
+    if (handledAt > deadline + lateReplyWindow)
+        return;
+    schedule(until(handledAt), [inTerm, handle = std::move(handle), isLate] { inTerm([&] { handle(isLate); }); });
+}
+
+void simulated_fleet::announce(const worker_description& worker)
+{
+    handleInput(leader_input::DirectoryChange, [this, worker] { m_engine->announceWorker(worker, m_now); });
+}
+
+void simulated_fleet::withdraw(const std::string& worker)
+{
+    handleInput(leader_input::DirectoryChange, [this, worker] { m_engine->withdrawWorker(worker, m_now); });
+}
+
+// An order that is sent in time may take until its time limit to arrive.
+void simulated_fleet::checkStartTime(const start_command& command)
+{
+    const auto& id = command.order.run.task.job;
+    const auto draining = m_drainingSince.find(command.worker.id);
+    if (draining != m_drainingSince.end() && m_now > draining->second + drainTime - orderTimeout)
+        m_violations.push_back(absl::StrCat(id, " is started on ", command.worker.id, ", which drains"));
+    const auto cancelled = m_cancelledAt.find(id);
+    if (cancelled != m_cancelledAt.end() && m_now > cancelled->second + cancellationTime - orderTimeout)
+        m_violations.push_back(absl::StrCat("a task of ", id, " is started after its cancellation"));
+}
+
+bool simulated_fleet::isProgressing(const engine_event& event) const
+{
+    const auto found = m_workers.find(event.worker);
+    if (found == m_workers.end() || found->second->faults.hangs)
+        return false;
+    return std::ranges::any_of(found->second->running, [&](const auto& entry) {
+        const auto& id = entry.second.run;
+        return id.task.job == event.job && absl::StrCat(id.task.step, ".", id.task.index, "/", id.number) == event.run;
+    });
+}
+
+void simulated_fleet::checkEvent(const engine_event& event)
+{
+    constexpr absl::string_view reasons[] { "it is stalled", "it makes no progress", "it did not start serving", "its worker no longer lists it" };
+    if (event.kind != engine_event_kind::RunStopped || !isProgressing(event))
+        return;
+    if (std::ranges::any_of(reasons, [&](absl::string_view reason) { return absl::StartsWith(event.detail, reason); }))
+        m_violations.push_back(absl::StrCat(event.job, ".", event.run, " is stopped on ", event.worker, " while it makes progress: ", event.detail));
+}
+
+} // namespace camphorsaddle::jobs::test
--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -39,7 +39,7 @@
     }
     for (const auto& [task, cause] : ending)
         close(worker, task, cause);
-    for (const auto& cancelled : m_cancelledAt) {
+    for (const auto& cancelled : m_cancellationHandledAt) {
         const auto& id = cancelled.first;
         const bool isRunning = std::ranges::any_of(worker.running, [&](const auto& entry) { return entry.first.job == id; });
         if (isRunning && !worker.faults.isUnresponsive && m_now > cancelled.second + std::chrono::seconds(12))
@@ -50,18 +50,26 @@
 void simulated_fleet::execute(const engine_command& command)
 {
     const auto term = m_term;
+    const auto deadline = m_now + orderTimeout;
+    const auto answerStop = [this, deadline](const stop_command& order, const external::order_reply& reply) {
+        const auto handle = [this, order](const external::order_reply& handled) {
+            m_engine->handleStopReply(order.worker.id, order.run, handled, m_now);
+        };
+        handleReply(
+            leader_input::OrderReply, deadline, [handle, reply](bool) { handle(reply); }, [handle] { handle({ external::order_outcome::NoAnswer, 0 }); });
+    };
     std::visit(utils::overloaded {
                    [&](const start_command& order) { start(order); },
                    [&](const stop_command& order) {
                        auto& worker = *m_workers.at(order.worker.id);
                        if (worker.faults.isUnresponsive || worker.faults.isDown || worker.faults.isReplaced) {
-                           schedule(callTimeout, [this, order, term] {
+                           schedule(callTimeout, [order, term, answerStop, this] {
                                if (term == m_term)
-                                   m_engine->handleStopReply(order.worker.id, order.run, { external::order_outcome::NoAnswer, 0 }, m_now);
+                                   answerStop(order, { external::order_outcome::NoAnswer, 0 });
                            });
                            return;
                        }
-                       schedule(orderDelay, [this, order, term, &worker] {
+                       schedule(orderDelay, [this, order, term, answerStop, &worker] {
                            auto outcome = external::order_outcome::Accepted;
                            if (term < worker.fence)
                                outcome = external::order_outcome::Fenced;
@@ -71,7 +79,7 @@
                                worker.closed[order.run.task] = std::max(worker.closed[order.run.task], order.run.number);
                            worker.fence = std::max(worker.fence, term);
                            if (term == m_term)
-                               m_engine->handleStopReply(order.worker.id, order.run, { outcome, workerClock() }, m_now);
+                               answerStop(order, { outcome, workerClock() });
                        });
                    },
                    [&](const pace_command& order) {
@@ -79,8 +87,11 @@
                            auto& worker = *m_workers.at(order.worker.id);
                            if (const auto found = worker.running.find(order.run.task); found != worker.running.end())
                                found->second.pace = order.percent;
-                           if (term == m_term)
-                               m_engine->handlePaceReply(order.worker.id, order.run, order.percent, { external::order_outcome::Accepted, workerClock() }, m_now);
+                           if (term != m_term)
+                               return;
+                           handleInput(leader_input::OrderReply, [this, order, clock = workerClock()] {
+                               m_engine->handlePaceReply(order.worker.id, order.run, order.percent, { external::order_outcome::Accepted, clock }, m_now);
+                           });
                        });
                    },
                    [&](const observe_command& order) { observe(order); },
@@ -165,7 +176,7 @@
         });
     }
     const auto& step = m_jobs.at(order.run.task.job).steps[order.run.task.step];
-    worker.running[order.run.task] = { order.run, m_now + taskTime, step.isLongRunning };
+    worker.running[order.run.task] = { order.run, m_now + m_batchTime, m_now, step.isLongRunning };
     ++m_startCounts[order.run.task];
     return { external::order_outcome::Accepted, workerClock() };
 }
@@ -174,9 +185,15 @@
 {
     auto& worker = *m_workers.at(command.worker.id);
     const auto answer = [this, command, term = m_term, sentAt = m_now](const external::order_reply& reply) {
-        if (term == m_term)
-            m_engine->handleStartReply(command.worker.id, command.order.run, reply, sentAt, m_now);
+        if (term != m_term)
+            return;
+        const auto handle = [this, command, sentAt](const external::order_reply& handled) {
+            m_engine->handleStartReply(command.worker.id, command.order.run, handled, sentAt, m_now);
+        };
+        handleReply(
+            leader_input::OrderReply, sentAt + orderTimeout, [handle, reply](bool) { handle(reply); }, [handle] { handle({ external::order_outcome::NoAnswer, 0 }); });
     };
+    checkStartTime(command);
     if (worker.faults.isUnresponsive) {
         schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
         return;
@@ -214,8 +231,14 @@
 void simulated_fleet::observe(const observe_command& command)
 {
     const auto answer = [this, command, term = m_term, sentAt = m_now](const external::observe_reply& reply) {
-        if (term == m_term)
-            m_engine->handleObserveReply(command.worker.id, command, reply, sentAt, m_now);
+        if (term != m_term)
+            return;
+        const auto handle = [this, command, sentAt](external::observe_reply handled, bool isLate) {
+            handled.isLate = isLate;
+            m_engine->handleObserveReply(command.worker.id, command, handled, sentAt, m_now);
+        };
+        handleReply(
+            leader_input::Observation, sentAt + orderTimeout + command.order.wait, [handle, reply](bool isLate) { handle(reply, isLate); }, [handle] { handle({ external::order_outcome::NoAnswer, {} }, false); });
     };
     const auto handleOrder = [this, command, answer] {
         auto& worker = *m_workers.at(command.worker.id);
@@ -242,8 +265,9 @@
         external::observe_reply reply { external::order_outcome::Accepted, { workerClock(), worker.description.incarnation, {}, worker.ended } };
         for (const auto& [task, run] : worker.running) {
             const auto left = std::chrono::duration_cast<utils::milliseconds>(run.endsAt - m_now).count();
-            const int percent = run.isLongRunning ? 100 : worker.faults.hangs ? 0
-                                                                              : static_cast<int>(std::clamp<std::int64_t>(100 - 100 * left / taskTime.count(), 0, 99));
+            const int servingPercent = m_now < run.startedAt + m_startupTime ? 0 : 100;
+            const int percent = run.isLongRunning ? servingPercent : worker.faults.hangs ? 0
+                                                                                         : static_cast<int>(std::clamp<std::int64_t>(100 - 100 * left / m_batchTime.count(), 0, 99));
             const std::int64_t load = run.isLongRunning ? (worker.tailLatency ? worker.tailLatency(worker, run.run) : 30) : 2000 * run.pace / 100;
             reply.workerState.running.push_back({ run.run, "", percent, load });
         }
