Leader: Leave half of the time to what isn't a decision

A leader whose decisions had become slow, with a long backlog or on a slow machine, decided again 4 ms after each batch of replies, and each 50 ms besides: replies, renewals, stops and the store's answers waited for starts.

The next decision waits for as long as the last one took, at least 4 ms and at most 100 ms, which is far below the time limits of orders. The tick of 50 ms goes through the same rule. decision_pacer holds it, with the time as an argument.

--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -15,8 +15,6 @@
 
     // Decisions that depend on time (expired leases, stalled runs, repeated orders) have at least ten times this period.
     constexpr utils::milliseconds decisionInterval { 50 };
-    // Batches events that arrive together, such as the replies to the start orders of a step, into one decision.
-    constexpr utils::milliseconds decisionDelay { 4 };
     constexpr utils::milliseconds housekeepingInterval { 1000 };
     // A long poll costs one call however long it waits; a lost one is noticed after this time plus one second.
     constexpr utils::milliseconds watchTimeout { 5000 };
@@ -49,7 +47,7 @@
           loop, store, deployment.workerKeyPrefix(), watchTimeout, [this](const auto& key, const auto* value) { onWorkerEntry(key, value); }, [this] { scheduleDecisions(); })
     , m_inboxWatch(
           loop, store, store_keys::inboxPrefix, watchTimeout, [this](const auto& key, const auto* value) { onInboxEntry(key, value); }, [] {})
-    , m_decisionTickTimer(loop, [this] { runDecisions(); })
+    , m_decisionTickTimer(loop, [this] { scheduleDecisions(); })
     , m_decisionTimer(loop, [this] { runDecisions(); })
     , m_reloadTimer(loop, [this] { loadJobs(); })
     , m_housekeepingTimer(loop, [this] { writeRoster(); eraseFinishedJobs(); m_eventLog.reportLeftOutLines(); })
@@ -316,7 +314,7 @@
 void leader_term::scheduleDecisions()
 {
     if (m_isLoaded && !m_hasEnded && !m_decisionTimer.isActive())
-        m_decisionTimer.startOnce(decisionDelay);
+        m_decisionTimer.startOnce(m_decisionPacer.delay(utils::nowIncludingSuspend()));
 }
 
 void leader_term::runDecisions()
@@ -332,6 +330,7 @@
     for (const auto& command : m_engine.decideCommands(now))
         executeCommand(command);
     writePendingProgress();
+    m_decisionPacer.recordDecision(now, utils::nowIncludingSuspend());
 }
 
 void leader_term::executeCommand(const jobs::engine_command& command)
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -9,6 +9,7 @@
 
 #include "jobs/job_engine.h"
 #include "tasks/coordinator/coordinator_messages.h"
+#include "tasks/coordinator/decision_pacer.h"
 #include "tasks/coordinator/inbox_tracker.h"
 #include "tasks/coordinator/job_daemon_settings.h"
 #include "tasks/coordinator/job_event_log.h"
@@ -74,6 +75,7 @@
     leader_writer m_writer;
     prefix_watch m_workerWatch;
     prefix_watch m_inboxWatch;
+    decision_pacer m_decisionPacer;
     transport::timer m_decisionTickTimer;
     transport::timer m_decisionTimer;
     transport::timer m_reloadTimer;
