Coordinator: Relay the orders of a large fleet through fewer daemons

Callers of a large fleet saw late starts when the leader's processor was full. The leader sends each relay messages of its own, after each decision, and gets the replies in messages of each relay. With a relay for every seven or eight workers (146 relays, 1,100 workers) an order or a reply often has a message of its own, with system calls and thread changes on both sides.

--- a/src/libs/jobs/relay_choice.h
+++ b/src/libs/jobs/relay_choice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,4 +23,10 @@
 //! served. Returns nullopt if \a relays is empty.
 std::optional<relay_daemon> chooseRelay(const std::vector<relay_daemon>& relays, const std::string& worker, const std::string& dataCentre);
 
+//! \brief Selects the relays for the workers of a data centre, preferably ones in that data centre.
+//!
+//! Returns few relays, since the leader's cost grows with the number of messages and each relay gets messages of its own. Weighted
+//! rendezvous hashing: when a selected relay is lost, one other takes its place.
+std::vector<relay_daemon> selectRelays(std::vector<relay_daemon> relays, std::size_t workerCount, const std::string& dataCentre);
+
 } // namespace camphorsaddle::jobs
--- a/src/tasks/coordinator/relayed_run_control.cpp
+++ b/src/tasks/coordinator/relayed_run_control.cpp
@@ -53,7 +53,13 @@
 
 void relayed_run_control::setWorkerDataCentre(const std::string& worker, const std::string& dataCentre)
 {
-    m_workers[worker].dataCentre = dataCentre;
+    auto& known = m_workers.try_emplace(worker).first->second;
+    if (known.dataCentre == dataCentre)
+        return;
+    if (!known.dataCentre.empty())
+        --m_workerCounts[known.dataCentre];
+    known.dataCentre = dataCentre;
+    ++m_workerCounts[dataCentre];
 }
 
 void relayed_run_control::reset()
@@ -74,6 +80,8 @@
     std::vector<jobs::relay_daemon> relays;
     for (const auto& [endpoint, knownRelay] : m_relays)
         relays.push_back(knownRelay.relay);
+    if (worker.consecutiveUnansweredOrders == 0)
+        relays = jobs::selectRelays(std::move(relays), m_workerCounts[worker.dataCentre], worker.dataCentre);
     // The number of unanswered orders changes the hash, so that another relay is chosen if there is one.
     const auto hashKey = worker.consecutiveUnansweredOrders == 0 ? id : absl::StrCat(id, "#", worker.consecutiveUnansweredOrders);
     const auto chosenRelay = jobs::chooseRelay(relays, hashKey, worker.dataCentre);
--- a/src/tasks/coordinator/relayed_run_control.h
+++ b/src/tasks/coordinator/relayed_run_control.h
@@ -80,6 +80,8 @@
     transport::timer m_flushTimer;
     std::map<std::string, known_relay> m_relays;
     std::map<std::string, relayed_worker> m_workers;
+    //! Number of workers in each data centre.
+    std::map<std::string, std::size_t> m_workerCounts;
     std::map<std::uint64_t, open_order> m_openOrders;
     std::map<std::string, protocol::RunOrders> m_queuedOrders;
     std::uint64_t m_nextTicket = 1;
