--- a/src/libs/jobs/deployment_format.h
+++ b/src/libs/jobs/deployment_format.h
@@ -18,8 +18,8 @@
 
     //! \brief Prefix of the keys under which workers register themselves.
     virtual std::string workerKeyPrefix() const = 0;
-    //! \brief Returns InvalidArgument if the entry doesn't describe a worker.
-    virtual absl::StatusOr<worker_description> parseWorker(const std::string& key, const std::string& value) const = 0;
+    //! \brief Parses an entry that was read at \a now; returns InvalidArgument if it doesn't describe a worker.
+    virtual absl::StatusOr<worker_description> parseWorker(const std::string& key, const std::string& value, utils::wall_time_point now) const = 0;
 
     //! \brief Parses a submitted job; returns Unimplemented if it uses features that this scheduler doesn't support.
     virtual absl::StatusOr<job_spec> parseJob(const std::string& body) const = 0;
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -126,7 +126,7 @@
         m_engine.withdrawWorker(id, now);
         return;
     }
-    const auto worker = m_deployment.parseWorker(key, value->value);
+    const auto worker = m_deployment.parseWorker(key, value->value, std::chrono::system_clock::now());
     if (!worker.ok()) {
         utils::logEvent(utils::events::workerEntryRejected, { { "key", key }, { "version", std::to_string(value->version) }, { "error", utils::describe(worker.status()) } });
         return;
--- a/tests/auto/platform/tst_formats.cpp
+++ b/tests/auto/platform/tst_formats.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+const utils::wall_time_point now { utils::milliseconds(1'800'000'000'000) };
 const std::string minionEntry = R"({"ClockMs":482113,"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready","Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":1},"Labels":["a","r1-3"],"born":7})";
 
 std::string replaceFirst(std::string text, const std::string& from, const std::string& to)
@@ -22,7 +23,7 @@
 
 TEST(MinionEntry, IsDecoded)
 {
-    const auto worker = parseMinion("i-1", minionEntry);
+    const auto worker = parseMinion("i-1", minionEntry, now);
     ASSERT_TRUE(worker.ok());
     const jobs::worker_description expected { "i-1", "10.0.0.1:80", "s", "z", "r1-3", { "a", "r1-3" }, { 16'000, 32'768, 1 }, false, utils::milliseconds(0), 7, 482'113 };
     EXPECT_EQ(*worker, expected);
@@ -38,7 +39,7 @@
 
 TEST_P(invalid_minion_entry, IsRejected)
 {
-    EXPECT_EQ(parseMinion("i-1", GetParam()).status().code(), absl::StatusCode::kInvalidArgument);
+    EXPECT_EQ(parseMinion("i-1", GetParam(), now).status().code(), absl::StatusCode::kInvalidArgument);
 }
 
 struct job_body_case {
--- a/tests/auto/tasks/plain_deployment_format.h
+++ b/tests/auto/tasks/plain_deployment_format.h
@@ -25,7 +25,7 @@
         return absl::UnimplementedError("not used");
     }
 
-    absl::StatusOr<jobs::worker_description> parseWorker(const std::string&, const std::string&) const override
+    absl::StatusOr<jobs::worker_description> parseWorker(const std::string&, const std::string&, utils::wall_time_point) const override
     {
         return absl::UnimplementedError("not used");
     }
