Platform: Check the numbers of replies, jobs and settings

A copy of a nested value needs a stack of its depth: a reply with 1,000,000 nested lists ended the daemon that sent the order with SIGSEGV.

Fractions of durations, loads and percents are cut off as before; a missing or null load still counts as 0. Task names take digits only (" 0" was read as 0).

Ruled out: a caller's nested job, which was rejected before too. The cases of tst_run_client that existed are unchanged.

--- /dev/null
+++ b/tests/auto/platform/tst_odd_requests.cpp
@@ -0,0 +1,145 @@
+#include <gtest/gtest.h>
+
+#include <array>
+
+#include "platform/formats.h"
+#include "platform/job_format.h"
+#include "platform/platform_settings.h"
+#include "utils/errors.h"
+
+using namespace camphorsaddle;
+using namespace camphorsaddle::platform;
+
+namespace {
+
+constexpr std::size_t longestErrorBytes = 400;
+
+//! A field with a value that is out of bounds or of another type.
+struct odd_field {
+    const char* name;
+    const char* value;
+};
+
+std::ostream& operator<<(std::ostream& stream, const odd_field& field)
+{
+    return stream << field.name << " " << field.value;
+}
+
+std::vector<odd_field> crossed(const std::vector<const char*>& names, const std::vector<const char*>& values)
+{
+    std::vector<odd_field> fields;
+    for (const auto* name : names) {
+        for (const auto* value : values)
+            fields.push_back({ name, value });
+    }
+    return fields;
+}
+
+std::vector<odd_field> joined(std::vector<odd_field> fields, const std::vector<odd_field>& others)
+{
+    fields.insert(fields.end(), others.begin(), others.end());
+    return fields;
+}
+
+//! The object \a text with one more field.
+std::string withField(const std::string& text, const odd_field& field)
+{
+    return text.substr(0, text.size() - 1) + ",\"" + field.name + "\":" + field.value + "}";
+}
+
+std::string nestedLists()
+{
+    constexpr std::size_t depth = 1'000'000;
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+void expectRejected(const absl::Status& status, const std::string& name)
+{
+    const auto text = utils::describe(status);
+    EXPECT_EQ(status.code(), absl::StatusCode::kInvalidArgument) << text;
+    EXPECT_LE(text.size(), longestErrorBytes);
+    EXPECT_NE(text.find(name), std::string::npos) << text;
+}
+
+const std::vector<const char*> oddNumbers { "-1", "-0.5", "1e30", "9223372036854775808", "18446744073709551615", "-9223372036854775808", "\"7\"", "null", "true", "[]", "{}" };
+const std::vector<const char*> oddFlags { "0", "1", "\"true\"", "null", "[]" };
+const std::vector<const char*> oddTexts { "7", "null", "true", "[]", "{}", R"("a\u0000b")", R"("a\r\nb")" };
+
+class odd_step_field : public testing::TestWithParam<odd_field> {
+};
+class odd_job_field : public testing::TestWithParam<odd_field> {
+};
+class odd_route_field : public testing::TestWithParam<odd_field> {
+};
+
+const std::string goodRoute = R"({"Name":"a","Host":"h","Prefix":"/x/","Service":"s"})";
+
+std::string configurationWith(const std::string& route, const std::string& rest)
+{
+    return R"({"Version":7,"Routes":[)" + route + "]" + rest + "}";
+}
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(Numbers, odd_step_field, testing::ValuesIn(crossed({ "Cpu", "MemMb", "Gpu", "EstimateMs", "AntiAffinity", "TargetMs", "MayMiss", "Times" }, oddNumbers)));
+// A cast takes these for 1.
+INSTANTIATE_TEST_SUITE_P(WrappedNumbers, odd_step_field, testing::ValuesIn(crossed({ "AntiAffinity", "MayMiss" }, { "4294967297", "1.5" })));
+INSTANTIATE_TEST_SUITE_P(Flags, odd_step_field, testing::ValuesIn(crossed({ "Checkpointing", "Speculative", "LongRunning", "Fills", "Gang" }, oddFlags)));
+INSTANTIATE_TEST_SUITE_P(Texts, odd_step_field, testing::ValuesIn(crossed({ "Constraints", "Affinity", "Image" }, oddTexts)));
+INSTANTIATE_TEST_SUITE_P(Lists, odd_step_field, testing::ValuesIn(crossed({ "After" }, { "7", "null", "{}", "[-1]", "[1.5]", "[4294967296]", "[null]", "[[0]]" })));
+
+TEST_P(odd_step_field, IsRejectedByName)
+{
+    expectRejected(parseJobBody(R"({"Spec":"x","Steps":[)" + withField(R"({"Count":4})", GetParam()) + "]}").status(), GetParam().name);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fields, odd_job_field,
+    testing::ValuesIn(joined(crossed({ "Times" }, oddNumbers), joined(crossed({ "Spec" }, { "7", "null", "[]", "{}" }), crossed({ "Steps" }, { "7", "null", "{}", "[7]", "[null]", "[[]]", R"([{"Count":-1}])", R"([{"Count":1e30}])", R"([{"Count":4294967296}])", R"([{"Count":1.5}])", R"([{}])", R"({"a":{"Count":1}})" })))));
+
+TEST_P(odd_job_field, IsRejected)
+{
+    const auto status = parseJobBody(withField(R"({"X":1)" + std::string(GetParam().name == std::string("Steps") ? "" : R"(,"Steps":[{"Count":4}])") + "}", GetParam())).status();
+    expectRejected(status, "read job");
+}
+
+TEST(NestedJob, IsRejected)
+{
+    expectRejected(parseJobBody(R"({"Steps":[{"Count":4}],"Spec":)" + nestedLists() + "}").status(), "nested");
+    expectRejected(parseJobBody(nestedLists()).status(), "nested");
+}
+
+INSTANTIATE_TEST_SUITE_P(Numbers, odd_route_field, testing::ValuesIn(crossed({ "TimeoutMs", "TargetLatencyMs", "Priority", "MaxAttempts", "SlackFactor" }, oddNumbers)));
+INSTANTIATE_TEST_SUITE_P(WrappedNumbers, odd_route_field, testing::ValuesIn(crossed({ "Priority", "MaxAttempts" }, { "4294967297", "1.5" })));
+
+TEST_P(odd_route_field, IsRejectedByName)
+{
+    expectRejected(parseConfiguration(configurationWith(withField(goodRoute, GetParam()), "")).status(), GetParam().name);
+}
+
+TEST(OddConfiguration, IsRejectedByName)
+{
+    ASSERT_TRUE(parseConfiguration(configurationWith(goodRoute, "")).ok());
+    for (const char* value : { "-1", "1e30", "18446744073709551615", "1.5", "null", "\"9\"" }) {
+        expectRejected(parseConfiguration(configurationWith(goodRoute, std::string(R"(,"Limits":{"MaxBodyBytes":)") + value + "}")).status(), "MaxBodyBytes");
+        expectRejected(parseConfiguration(std::string(R"({"Routes":[],"Version":)") + value + "}").status(), "Version");
+    }
+    for (const char* value : { "7", "null", "[7]", "[null]", R"({"a":{"Name":"s"}})", R"([{"RejectsOverload":1,"Name":"s"}])", R"([{"RejectsOverload":true}])" })
+        expectRejected(parseConfiguration(configurationWith(goodRoute, std::string(R"(,"Services":)") + value)).status(), "read configuration");
+    // A copy of a deeply nested list overflowed the stack.
+    expectRejected(parseConfiguration(configurationWith(goodRoute, R"(,"Services":)" + nestedLists())).status(), "nested");
+}
+
+TEST(OddSettings, AreRejectedByName)
+{
+    const std::string text = R"({"NodeName":"n","Zone":"z","Ip":"10.0.0.1","HeartbeatMs":2000,"BindAddrs":{"Front":"10.0.0.1:80","Readiness":"10.0.0.1:81"},"PortRange":[7000,7010],)"
+                             R"("platform":{"Address":"10.0.0.2:8169","TtlMinMs":1000},"Limits":{"CpuShare":0.1},)"
+                             R"("Bounds":{"GraceS":6,"ConfigApplyMs":2500,"MaxHoldMs":10000,"StopMs":400,"ContactMs":4000,"status_s":120}})";
+    ASSERT_TRUE(parsePlatformSettings(text, "settings.json").ok()) << parsePlatformSettings(text, "settings.json").status();
+    const std::vector<std::array<std::string, 3>> replacements { { "\"GraceS\":6", "\"GraceS\":-6", "GraceS" }, { "\"GraceS\":6", "\"GraceS\":1e30", "GraceS" }, { "\"MaxHoldMs\":10000", "\"MaxHoldMs\":1e300", "MaxHoldMs" }, { "\"status_s\":120", "\"status_s\":1e18", "status_s" },
+        { "\"HeartbeatMs\":2000", "\"HeartbeatMs\":-1", "HeartbeatMs" }, { "7000", "70000", "PortRange" }, { "7000", "-1", "PortRange" }, { "7000", "4294974296", "PortRange" }, { "0.1}", "-0.1}", "CpuShare" }, { "10.0.0.1:81", "10.0.0.1:65536", "65535" }, { "10.0.0.1:81", "10.0.0.1:0", "65535" } };
+    for (const auto& [from, to, name] : replacements) {
+        auto changed = text;
+        changed.replace(changed.find(from), from.size(), to);
+        expectRejected(parsePlatformSettings(changed, "settings.json").status(), name);
+    }
+}
--- a/tests/auto/platform/tst_run_client.cpp
+++ b/tests/auto/platform/tst_run_client.cpp
@@ -104,6 +104,19 @@
         observation_case { "rowIsShort", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef.0.0.1"]],"Finished":[]})", order_outcome::Malformed },
         observation_case { "rowIsObject", 200, R"({"ClockMs":7,"born":3,"Running":[{}],"Finished":[]})", order_outcome::Malformed },
         observation_case { "taskNameIsWrong", 200, R"({"ClockMs":7,"born":3,"Running":[["x",1,"",40,12]],"Finished":[]})", order_outcome::Malformed },
+        observation_case { "loadIsMissing", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef.0.0.1",1,"",40]],"Finished":[]})", order_outcome::Accepted },
+        observation_case { "loadIsNull", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef.0.0.1",1,"",40,null]],"Finished":[]})", order_outcome::Accepted },
+        observation_case { "loadHasFraction", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef.0.0.1",1,"",40,12.5]],"Finished":[]})", order_outcome::Accepted },
+        observation_case { "loadIsNegative", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef.0.0.1",1,"",40,-1]],"Finished":[]})", order_outcome::Malformed },
+        observation_case { "loadIsTooLarge", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef.0.0.1",1,"",40,1e30]],"Finished":[]})", order_outcome::Malformed },
+        observation_case { "loadIsText", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef.0.0.1",1,"",40,"12"]],"Finished":[]})", order_outcome::Malformed },
+        observation_case { "percentIsNegative", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef.0.0.1",1,"",-1,12]],"Finished":[]})", order_outcome::Malformed },
+        observation_case { "percentIsTooLarge", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef.0.0.1",1,"",101,12]],"Finished":[]})", order_outcome::Malformed },
+        observation_case { "percentWrapsToHundred", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef.0.0.1",1,"",4294967396,12]],"Finished":[]})", order_outcome::Malformed },
+        observation_case { "clockIsBeyondCenturies", 200, R"({"ClockMs":9223372036854775807,"born":3,"Running":[],"Finished":[]})", order_outcome::Malformed },
+        observation_case { "bornIsInTheFuture", 200, R"({"ClockMs":7,"born":9223372036854775807,"Running":[],"Finished":[]})", order_outcome::Malformed },
+        observation_case { "runningIsObject", 200, R"({"ClockMs":7,"born":3,"Running":{"a":["0123456789abcdef.0.0.1",1,"",40,12]},"Finished":[]})", order_outcome::Malformed },
+        observation_case { "taskNameHasSpaces", 200, R"({"ClockMs":7,"born":3,"Running":[["0123456789abcdef. 0.0.1",1,"",40,12]],"Finished":[]})", order_outcome::Malformed },
         observation_case { "rejectedReasonIsNumber", 409, R"({"Reason":4})", order_outcome::NoAnswer }),
     [](const auto& info) { return std::string(info.param.name); });
 
@@ -116,3 +129,21 @@
     ASSERT_TRUE(reply);
     EXPECT_EQ(toString(reply->outcome), toString(GetParam().outcome));
 }
+
+// A copy of a deeply nested reply overflowed the stack.
+TEST(NestedReply, IsRejectedWithoutUseOfTheStack)
+{
+    constexpr std::size_t depth = 1'000'000;
+    const std::string nested = "{\"ClockMs\":7,\"x\":" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    canned_client http(200, nested);
+    run_client client(http);
+    std::optional<external::order_reply> reply;
+    client.start(worker, { run, "payload", "", 100, 1 }, [&](const auto& received) { reply = received; });
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(toString(reply->outcome), "accepted");
+    EXPECT_EQ(reply->clock, 0);
+    std::optional<external::observe_reply> observed;
+    client.observe(worker, { 0, 1, 0, utils::milliseconds(0) }, [&](const auto& received) { observed = received; });
+    ASSERT_TRUE(observed);
+    EXPECT_EQ(toString(observed->outcome), "malformed");
+}
