Coordinator: Withdraw a worker whose entry names no worker any more

Cause: an entry of a worker that was replaced by one that can't be read left the worker announced with its former description, so that tasks were started at an address that nobody vouches for.

Change: worker_directory applies entries to the engine and withdraws such a worker. Withdrawn is the safe choice: an entry that can't be read names no worker to use; runs that the worker has keep their lease as long as it answers, and its own next entry, each two seconds, announces it again. Each version of such an entry is one log line of bounded length, plus one for the withdrawal.

--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "absl/strings/match.h"
-#include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
 #include "utils/errors.h"
 #include "utils/events.h"
@@ -44,6 +43,7 @@
     , m_election(election)
     , m_onDeposed(std::move(onDeposed))
     , m_engine(settings.engine, election.term(), [this](const jobs::engine_event& event) { m_eventLog.write(event, utils::nowIncludingSuspend()); })
+    , m_workerDirectory(deployment, m_engine)
     , m_writer(loop, store, store_keys::leader, election.leaderKeyVersion())
     , m_workerWatch(
           loop, store, deployment.workerKeyPrefix(), watchTimeout, [this](const auto& key, const auto* value) { onWorkerEntry(key, value); }, [this] { scheduleDecisions(); })
@@ -119,27 +119,10 @@
 
 void leader_term::onWorkerEntry(const std::string& key, const external::key_value* value)
 {
-    const auto now = utils::nowIncludingSuspend();
-    const std::string id(absl::StripPrefix(key, m_deployment.workerKeyPrefix()));
-    if (value == nullptr) {
-        utils::logEvent(utils::events::workerWithdrawn, { { "worker", id } });
-        m_engine.withdrawWorker(id, now);
-        return;
-    }
-    const auto worker = m_deployment.parseWorker(key, value->value, std::chrono::system_clock::now());
-    if (!worker.ok()) {
-        utils::logEvent(utils::events::workerEntryRejected, { { "key", key }, { "version", std::to_string(value->version) }, { "error", utils::describe(worker.status()) } });
+    if (m_workerDirectory.applyEntry(key, value, utils::nowIncludingSuspend(), std::chrono::system_clock::now()) != directory_effect::Announced)
         return;
-    }
-    const auto announced = m_engine.workers().find(id);
-    if (announced != m_engine.workers().end() && announced->second->isAnnounced && jobs::isRenewalOf(*worker, announced->second->description)) {
-        m_engine.announceWorker(*worker, now);
-        return;
-    }
-    const auto& capacity = worker->capacity;
-    utils::logEvent(utils::events::workerAnnounced, { { "worker", id }, { "version", std::to_string(value->version) }, { "life", std::to_string(worker->incarnation) }, { "draining", worker->isDraining ? "true" : "false" }, { "capacity", absl::StrCat(capacity.processors, ",", capacity.memory, ",", capacity.accelerators) } });
-    m_runControl.setWorkerDataCentre(id, worker->dataCentre);
-    m_engine.announceWorker(*worker, now);
+    const auto id = m_workerDirectory.workerIdOf(key);
+    m_runControl.setWorkerDataCentre(id, m_engine.workers().at(id)->description.dataCentre);
     writeRoster();
     scheduleDecisions();
 }
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -16,6 +16,7 @@
 #include "tasks/coordinator/leader_writer.h"
 #include "tasks/coordinator/prefix_watch.h"
 #include "tasks/coordinator/relayed_run_control.h"
+#include "tasks/coordinator/worker_directory.h"
 
 namespace camphorsaddle::tasks {
 
@@ -71,6 +72,7 @@
     std::function<void(const std::string& why)> m_onDeposed;
     job_event_log m_eventLog;
     jobs::job_engine m_engine;
+    worker_directory m_workerDirectory;
     leader_writer m_writer;
     prefix_watch m_workerWatch;
     prefix_watch m_inboxWatch;
