--- a/tests/auto/jobs/simulated_fleet_lag.cpp
+++ b/tests/auto/jobs/simulated_fleet_lag.cpp
@@ -46,16 +46,17 @@
     });
 }
 
-void simulated_fleet::handleReply(leader_input kind, utils::time_point deadline, std::function<void(bool isLate)> handle, std::function<void()> giveUp)
+void simulated_fleet::handleReply(std::uint64_t term, leader_input kind, utils::time_point deadline, std::function<void(bool isLate)> handle, std::function<void()> giveUp)
 {
-    if (!m_lag) {
-        handle(false);
-        return;
-    }
-    const auto inTerm = [this, term = m_term](const std::function<void()>& action) {
-        if (term == m_term)
+    const auto inTerm = [this, term](const std::function<void()>& action) {
+        if (engineOfTerm(term) != nullptr)
             action();
     };
+    // Only the current leader lags.
+    if (!m_lag || term != m_term) {
+        inTerm([&] { handle(false); });
+        return;
+    }
     const auto until = [this](utils::time_point at) {
         return std::chrono::duration_cast<utils::milliseconds>(at - m_now);
     };
--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -47,25 +47,23 @@
     }
 }
 
-void simulated_fleet::execute(const engine_command& command)
+void simulated_fleet::execute(const engine_command& command, std::uint64_t term)
 {
-    const auto term = m_term;
     const auto deadline = m_now + orderTimeout;
-    const auto answerStop = [this, deadline](const stop_command& order, const external::order_reply& reply) {
-        const auto handle = [this, order](const external::order_reply& handled) {
-            m_engine->handleStopReply(order.worker.id, order.run, handled, m_now);
+    const auto answerStop = [this, deadline, term](const stop_command& order, const external::order_reply& reply) {
+        const auto handle = [this, order, term](const external::order_reply& handled) {
+            engineOfTerm(term)->handleStopReply(order.worker.id, order.run, handled, m_now);
         };
         handleReply(
-            leader_input::OrderReply, deadline, [handle, reply](bool) { handle(reply); }, [handle] { handle({ external::order_outcome::NoAnswer, 0 }); });
+            term, leader_input::OrderReply, deadline, [handle, reply](bool) { handle(reply); }, [handle] { handle({ external::order_outcome::NoAnswer, 0 }); });
     };
     std::visit(utils::overloaded {
-                   [&](const start_command& order) { start(order); },
+                   [&](const start_command& order) { start(order, term); },
                    [&](const stop_command& order) {
                        auto& worker = *m_workers.at(order.worker.id);
                        if (worker.faults.isUnresponsive || worker.faults.isDown || worker.faults.isReplaced) {
-                           schedule(callTimeout, [order, term, answerStop, this] {
-                               if (term == m_term)
-                                   answerStop(order, { external::order_outcome::NoAnswer, 0 });
+                           schedule(callTimeout, [order, answerStop] {
+                               answerStop(order, { external::order_outcome::NoAnswer, 0 });
                            });
                            return;
                        }
@@ -78,8 +76,7 @@
                            else
                                worker.closed[order.run.task] = std::max(worker.closed[order.run.task], order.run.number);
                            worker.fence = std::max(worker.fence, term);
-                           if (term == m_term)
-                               answerStop(order, { outcome, workerClock() });
+                           answerStop(order, { outcome, workerClock() });
                        });
                    },
                    [&](const pace_command& order) {
@@ -87,14 +84,11 @@
                            auto& worker = *m_workers.at(order.worker.id);
                            if (const auto found = worker.running.find(order.run.task); found != worker.running.end())
                                found->second.pace = order.percent;
-                           if (term != m_term)
-                               return;
-                           handleInput(leader_input::OrderReply, [this, order, clock = workerClock()] {
-                               m_engine->handlePaceReply(order.worker.id, order.run, order.percent, { external::order_outcome::Accepted, clock }, m_now);
-                           });
+                           handleReply(
+                               term, leader_input::OrderReply, m_now + std::chrono::hours(1), [this, order, term, clock = workerClock()](bool) { engineOfTerm(term)->handlePaceReply(order.worker.id, order.run, order.percent, { external::order_outcome::Accepted, clock }, m_now); }, [] {});
                        });
                    },
-                   [&](const observe_command& order) { observe(order); },
+                   [&](const observe_command& order) { observe(order, term); },
                },
         command);
 }
@@ -181,17 +175,15 @@
     return { external::order_outcome::Accepted, workerClock() };
 }
 
-void simulated_fleet::start(const start_command& command)
+void simulated_fleet::start(const start_command& command, std::uint64_t term)
 {
     auto& worker = *m_workers.at(command.worker.id);
-    const auto answer = [this, command, term = m_term, sentAt = m_now](const external::order_reply& reply) {
-        if (term != m_term)
-            return;
-        const auto handle = [this, command, sentAt](const external::order_reply& handled) {
-            m_engine->handleStartReply(command.worker.id, command.order.run, handled, sentAt, m_now);
+    const auto answer = [this, command, term, sentAt = m_now](const external::order_reply& reply) {
+        const auto handle = [this, command, sentAt, term](const external::order_reply& handled) {
+            engineOfTerm(term)->handleStartReply(command.worker.id, command.order.run, handled, sentAt, m_now);
         };
         handleReply(
-            leader_input::OrderReply, sentAt + orderTimeout, [handle, reply](bool) { handle(reply); }, [handle] { handle({ external::order_outcome::NoAnswer, 0 }); });
+            term, leader_input::OrderReply, sentAt + orderTimeout, [handle, reply](bool) { handle(reply); }, [handle] { handle({ external::order_outcome::NoAnswer, 0 }); });
     };
     checkStartTime(command);
     if (worker.faults.isUnresponsive) {
@@ -228,17 +220,15 @@
     });
 }
 
-void simulated_fleet::observe(const observe_command& command)
+void simulated_fleet::observe(const observe_command& command, std::uint64_t term)
 {
-    const auto answer = [this, command, term = m_term, sentAt = m_now](const external::observe_reply& reply) {
-        if (term != m_term)
-            return;
-        const auto handle = [this, command, sentAt](external::observe_reply handled, bool isLate) {
+    const auto answer = [this, command, term, sentAt = m_now](const external::observe_reply& reply) {
+        const auto handle = [this, command, sentAt, term](external::observe_reply handled, bool isLate) {
             handled.isLate = isLate;
-            m_engine->handleObserveReply(command.worker.id, command, handled, sentAt, m_now);
+            engineOfTerm(term)->handleObserveReply(command.worker.id, command, handled, sentAt, m_now);
         };
         handleReply(
-            leader_input::Observation, sentAt + orderTimeout + command.order.wait, [handle, reply](bool isLate) { handle(reply, isLate); }, [handle] { handle({ external::order_outcome::NoAnswer, {} }, false); });
+            term, leader_input::Observation, sentAt + orderTimeout + command.order.wait, [handle, reply](bool isLate) { handle(reply, isLate); }, [handle] { handle({ external::order_outcome::NoAnswer, {} }, false); });
     };
     const auto handleOrder = [this, command, answer] {
         auto& worker = *m_workers.at(command.worker.id);
