Jobs: Start nothing by an old directory or old cancellations

Cause: the engine did not know how old its view of the store was. Entries that wait unread are not there for it. The inbox had no request beside its long poll, so that a lost one was noticed after 6 s, twice the time in which a cancellation has to be in force.

Now the engine is told up to when the directory and the cancellations are complete: the time at which the newest answered request was sent. When either is older than the drain or the cancellation time less 650 ms for the start order, nothing is started, and no run is stopped to be started elsewhere. Long polls confirm their copy too, so that a directory which changes all the time needs no further requests; otherwise the workers are asked for after 1 s and the inbox after 1.5 s without a confirmation. Changes of this state are logged (starts_suspended, starts_resumed) with both ages.

PrefixWatch.LongPollConfirmsTheCopy was written with the change. CrashingTasks.RefusedStartCountsAsCrash drives the engine without a store and now confirms both before each decision; what it checks is unchanged. The simulated fleet confirms nothing while its store is down, so that job_engine storeDown has this case.

While the store can't be reached nothing is started after the bound, where starts went on before.

--- a/bench/capacity/leader_costs.cpp
+++ b/bench/capacity/leader_costs.cpp
@@ -209,6 +209,8 @@
             }
             for (auto& [id, worker] : m_workers)
                 advance(worker);
+            m_engine.confirmDirectory(m_now);
+            m_engine.confirmCancellations(m_now);
             std::vector<jobs::engine_command> commands;
             charge(cost_kind::Decisions, [&] { commands = m_engine.decideCommands(m_now); });
             for (const auto& command : commands)
--- a/src/libs/jobs/engine_command.h
+++ b/src/libs/jobs/engine_command.h
@@ -48,14 +48,16 @@
     RestoreEnded,
     Deposed,
     TaskSuspected,
+    StartsSuspended,
+    StartsResumed,
 };
 
-inline constexpr std::size_t engineEventKindCount = 14;
+inline constexpr std::size_t engineEventKindCount = 16;
 
 constexpr absl::string_view toString(engine_event_kind kind)
 {
     constexpr absl::string_view names[engineEventKindCount] { "run_started", "run_ended", "run_lost", "run_stopped", "run_uncertain", "run_adopted", "order_refused",
-        "worker_seen", "worker_silent", "worker_reborn", "job_ended", "restore_ended", "deposed", "task_suspected" };
+        "worker_seen", "worker_silent", "worker_reborn", "job_ended", "restore_ended", "deposed", "task_suspected", "starts_suspended", "starts_resumed" };
     return names[static_cast<std::size_t>(kind)];
 }
 
--- a/src/libs/jobs/engine_settings.h
+++ b/src/libs/jobs/engine_settings.h
@@ -44,6 +44,10 @@
     //! Longest age of the directory entry by which a task is started on a worker that doesn't reject overload. Its capacity
     //! may have shrunk since.
     utils::milliseconds maximumCapacityAge { 3600 };
+    //! Longest age of the worker directory by which a task is started. A worker may have begun to drain since.
+    utils::milliseconds maximumDirectoryAge { 1850 };
+    //! The same for the cancellations of jobs that other daemons have stored.
+    utils::milliseconds maximumCancellationsAge { 2350 };
     //! How long a worker gets no tasks after it refused one for lack of capacity, unless its directory entry changes.
     utils::milliseconds refusedCapacityDelay { 500 };
     //! How many run numbers each leader term reserves for a task.
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -48,6 +48,12 @@
     void announceWorker(const worker_description& worker, utils::time_point now);
     void withdrawWorker(const std::string& worker, utils::time_point now);
 
+    //! \brief All changes of the directory that the store had at the given time were announced. No task is started by a
+    //! directory that is older than the settings allow.
+    void confirmDirectory(utils::time_point at);
+    //! \brief The same for the cancellations of jobs that other daemons have stored.
+    void confirmCancellations(utils::time_point at);
+
     // Start and end of a term.
     //! \brief Adds a job from the store before beginTerm().
     void restore(const job_spec& job, const job_progress& progress, bool isCancelled, utils::time_point now);
@@ -168,6 +174,8 @@
     void acknowledgeEnds(worker_state& worker);
 
     // Decisions.
+    //! \brief Whether the directory and the cancellations are recent enough to start tasks.
+    bool mayStart(utils::time_point now);
     void expireLeases(utils::time_point now);
     void moveTasksFromDrainingWorkers(utils::time_point now);
     void handleStalledRuns(utils::time_point now);
@@ -238,6 +246,9 @@
     //! have ended.
     std::map<std::string, utils::time_point> m_unconfirmedWorkers;
     utils::time_point m_termStartedAt;
+    utils::time_point m_directoryConfirmedAt;
+    utils::time_point m_cancellationsConfirmedAt;
+    bool m_areStartsSuspended = false;
     bool m_isRestoring = false;
     bool m_isDeposed = false;
     interference_model m_interference;
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -44,18 +44,22 @@
 std::vector<engine_command> job_engine::decideCommands(utils::time_point now)
 {
     std::vector<engine_command> commands;
+    const bool mayStartNow = mayStart(now);
     // Decisions that depend on elapsed time only are made at intervals, those that replies cause at each call.
     if (now >= m_reviewedAt + reviewInterval) {
         m_reviewedAt = now;
         endRestorationIfComplete(now);
         expireLeases(now);
-        moveTasksFromDrainingWorkers(now);
-        if (now >= m_stallsReviewedAt + stallReviewInterval) {
+        // A task that leaves its worker has to be started on another one.
+        if (mayStartNow)
+            moveTasksFromDrainingWorkers(now);
+        if (mayStartNow && now >= m_stallsReviewedAt + stallReviewInterval) {
             m_stallsReviewedAt = now;
             handleStalledRuns(now);
         }
         releaseExpiredReservations(now);
-        rebalanceServiceTasks(now);
+        if (mayStartNow)
+            rebalanceServiceTasks(now);
         for (auto* worker : m_workerList) {
             reviewSuspectRun(*worker, now);
             paceBestEffortRuns(*worker, now, commands);
@@ -63,13 +67,37 @@
         }
         m_mayStartTasks = true;
     }
-    if (m_mayStartTasks)
+    if (m_mayStartTasks && mayStartNow) {
         startWaitingTasks(now, commands);
-    m_mayStartTasks = false;
+        m_mayStartTasks = false;
+    }
     appendOrders(now, commands);
     return commands;
 }
 
+void job_engine::confirmDirectory(utils::time_point at)
+{
+    m_directoryConfirmedAt = std::max(m_directoryConfirmedAt, at);
+}
+
+void job_engine::confirmCancellations(utils::time_point at)
+{
+    m_cancellationsConfirmedAt = std::max(m_cancellationsConfirmedAt, at);
+}
+
+bool job_engine::mayStart(utils::time_point now)
+{
+    const bool isRecent = now <= m_directoryConfirmedAt + m_settings.maximumDirectoryAge && now <= m_cancellationsConfirmedAt + m_settings.maximumCancellationsAge;
+    if (isRecent != m_areStartsSuspended)
+        return isRecent;
+    m_areStartsSuspended = !isRecent;
+    const auto age = [&](utils::time_point at) {
+        return at == utils::time_point() ? -1 : std::chrono::duration_cast<utils::milliseconds>(now - at).count();
+    };
+    m_onEvent({ isRecent ? engine_event_kind::StartsResumed : engine_event_kind::StartsSuspended, "", "", "", absl::StrCat("directory_age_ms=", age(m_directoryConfirmedAt), " cancellations_age_ms=", age(m_cancellationsConfirmedAt)) });
+    return isRecent;
+}
+
 void job_engine::queueForOrders(worker_state& worker)
 {
     if (std::exchange(worker.isQueuedForOrders, true))
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -22,8 +22,11 @@
     constexpr utils::milliseconds watchTimeout { 5000 };
     // Batches worker changes: each worker renews its entry every two seconds, and changes must be in force within 2.5 s.
     constexpr utils::milliseconds workerBatchingDelay { 100 };
-    // A leaving worker must get no new tasks after two and a half seconds, even if the watch reports nothing.
-    constexpr utils::milliseconds workerRefreshInterval { 1800 };
+    // Starts stop when the directory or the inbox has not been confirmed for about two seconds, see engine_settings. The
+    // long polls confirm them only when something changes.
+    constexpr utils::milliseconds refreshTickInterval { 200 };
+    constexpr utils::milliseconds workerRefreshAge { 1000 };
+    constexpr utils::milliseconds inboxRefreshAge { 1500 };
     // A new leader would have to learn these values again; writing them in a batch with other writes costs little.
     constexpr utils::milliseconds learnedWriteInterval { 2000 };
     // Without the stored roster the next leader only waits longer.
@@ -53,7 +56,7 @@
     , m_decisionTimer(loop, [this] { runDecisions(); })
     , m_reloadTimer(loop, [this] { loadJobs(); })
     , m_housekeepingTimer(loop, [this] { writeRoster(); eraseFinishedJobs(); m_eventLog.reportLeftOutLines(); })
-    , m_workerRefreshTimer(loop, [this] { m_workerWatch.refresh(); })
+    , m_refreshTimer(loop, [this] { refreshWatches(); })
     , m_startedAt(utils::nowIncludingSuspend())
     , m_learnedWriteTimer(loop, [this] { writeLearnedRecord(); })
 {
@@ -82,7 +85,7 @@
 void leader_term::end()
 {
     m_hasEnded = true;
-    for (auto* timer : { &m_decisionTickTimer, &m_decisionTimer, &m_reloadTimer, &m_housekeepingTimer, &m_workerRefreshTimer, &m_learnedWriteTimer })
+    for (auto* timer : { &m_decisionTickTimer, &m_decisionTimer, &m_reloadTimer, &m_housekeepingTimer, &m_refreshTimer, &m_learnedWriteTimer })
         timer->stop();
     m_writer.abandonAll();
     for (auto& [call, reply] : std::exchange(m_pendingCalls, {}))
@@ -110,7 +113,7 @@
     m_inboxWatch.start();
     m_decisionTickTimer.startRepeating(decisionInterval);
     m_housekeepingTimer.startRepeating(housekeepingInterval);
-    m_workerRefreshTimer.startRepeating(workerRefreshInterval);
+    m_refreshTimer.startRepeating(refreshTickInterval);
     m_learnedWriteTimer.startRepeating(learnedWriteInterval);
     for (auto& [call, reply] : std::exchange(m_pendingCalls, {}))
         handleCall(call, reply);
@@ -313,6 +316,15 @@
         true);
 }
 
+void leader_term::refreshWatches()
+{
+    const auto now = utils::nowIncludingSuspend();
+    if (now > m_workerWatch.confirmedAt() + workerRefreshAge)
+        m_workerWatch.refresh();
+    if (now > m_inboxWatch.confirmedAt() + inboxRefreshAge)
+        m_inboxWatch.refresh();
+}
+
 void leader_term::scheduleDecisions()
 {
     if (m_isLoaded && !m_hasEnded && !m_decisionTimer.isActive())
@@ -329,6 +341,8 @@
         m_onDeposed("a worker has seen a higher fencing token");
         return;
     }
+    m_engine.confirmDirectory(m_workerWatch.confirmedAt());
+    m_engine.confirmCancellations(m_inboxWatch.confirmedAt());
     for (const auto& command : m_engine.decideCommands(now))
         executeCommand(command);
     writePendingProgress();
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -56,6 +56,8 @@
     void submitJob(const job_call& call, const reply_callback& reply);
     void completeSubmission(const jobs::job_spec& job, write_outcome outcome, const external::key_value* present);
     void cancelJob(const job_call& call, const reply_callback& reply);
+    //! \brief Asks the store for changes of the workers and of the inbox that the long polls haven't reported.
+    void refreshWatches();
     void scheduleDecisions();
     void runDecisions();
     void executeCommand(const jobs::engine_command& command);
@@ -78,7 +80,7 @@
     transport::timer m_decisionTimer;
     transport::timer m_reloadTimer;
     transport::timer m_housekeepingTimer;
-    transport::timer m_workerRefreshTimer;
+    transport::timer m_refreshTimer;
     bool m_isLoaded = false;
     bool m_hasEnded = false;
     bool m_isHandingOver = false;
--- a/src/tasks/coordinator/prefix_watch.cpp
+++ b/src/tasks/coordinator/prefix_watch.cpp
@@ -55,7 +55,7 @@
         m_isRefreshing = false;
         if (generation != m_generation || !applyWatchResult(result))
             return;
-        m_confirmedAt = sentAt;
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
         m_onSynced();
     });
 }
@@ -117,7 +117,7 @@
             return;
         }
         m_failedListings = 0;
-        m_confirmedAt = sentAt;
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
         applyListing(*listing);
         if (!alive.expired() && generation == m_generation && m_isLongPolling)
             requestChanges();
@@ -198,12 +198,14 @@
 {
     m_isWatchOpen = true;
     const auto generation = m_generation;
-    m_store.watch(m_prefix, m_revision, m_watchTimeout, [this, generation, alive = std::weak_ptr(m_alive)](const absl::StatusOr<external::watch_result>& result) {
+    const auto sentAt = utils::nowIncludingSuspend();
+    m_store.watch(m_prefix, m_revision, m_watchTimeout, [this, generation, sentAt, alive = std::weak_ptr(m_alive)](const absl::StatusOr<external::watch_result>& result) {
         if (alive.expired() || generation != m_generation)
             return;
         m_isWatchOpen = false;
         if (!m_isLongPolling || !applyWatchResult(result))
             return;
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
         m_onSynced();
         if (alive.expired() || generation != m_generation || m_isWatchOpen)
             return;
--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -194,6 +194,8 @@
         if (!m_removedWorkers.contains(id))
             m_engine->announceWorker(m_hasEntryRenewal ? m_entries.at(id) : worker->description, m_now);
     }
+    m_engine->confirmDirectory(m_now);
+    m_engine->confirmCancellations(m_now);
 }
 
 void simulated_fleet::removeWorker(const std::string& id)
@@ -237,6 +239,7 @@
 void simulated_fleet::step()
 {
     m_now += tick;
+    confirmStoreViews();
     // After a pause, timers run before what has arrived is handled.
     if (m_lag && m_now >= m_nextDecision) {
         m_nextDecision = m_lag->handledAt(leader_input::Decision, m_now + tick);
--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -181,6 +181,8 @@
     void handleReply(leader_input kind, utils::time_point deadline, std::function<void(bool isLate)> handle, std::function<void()> giveUp);
     void announce(const worker_description& worker);
     void withdraw(const std::string& worker);
+    //! \brief Tells the leader which directory and cancellations it knows.
+    void confirmStoreViews();
     void checkStartTime(const start_command& command);
     void checkEvent(const engine_event& event);
     bool isProgressing(const engine_event& event) const;
@@ -221,6 +223,7 @@
     std::map<std::string, utils::time_point> m_drainingSince;
     std::optional<simulated_lag> m_lag;
     utils::time_point m_nextDecision;
+    utils::time_point m_nextConfirmation;
     utils::milliseconds m_batchTime = taskTime;
     utils::milliseconds m_startupTime { 0 };
     std::vector<std::string> m_roster;
--- a/tests/auto/jobs/simulated_fleet_lag.cpp
+++ b/tests/auto/jobs/simulated_fleet_lag.cpp
@@ -10,6 +10,7 @@
 
     // A reply that is handled later than this after its time limit is dropped.
     constexpr utils::milliseconds lateReplyWindow { 6000 };
+    constexpr utils::milliseconds confirmationInterval { 1000 };
 
 } // namespace
 
@@ -78,6 +79,15 @@
     handleInput(leader_input::DirectoryChange, [this, worker] { m_engine->withdrawWorker(worker, m_now); });
 }
 
+void simulated_fleet::confirmStoreViews()
+{
+    if (m_isStoreDown || m_now < m_nextConfirmation)
+        return;
+    m_nextConfirmation = m_lag ? m_now + confirmationInterval : m_now;
+    handleInput(leader_input::DirectoryChange, [this, at = m_now] { m_engine->confirmDirectory(at); });
+    handleInput(leader_input::Cancellation, [this, at = m_now] { m_engine->confirmCancellations(at); });
+}
+
 // An order that is sent in time may take until its time limit to arrive.
 void simulated_fleet::checkStartTime(const start_command& command)
 {
--- a/tests/auto/jobs/tst_crashing_tasks.cpp
+++ b/tests/auto/jobs/tst_crashing_tasks.cpp
@@ -196,6 +196,8 @@
     unsigned refusedStarts = 0;
     for (unsigned round = 0; round < 1000 && refusedStarts < 8; ++round) {
         now += utils::milliseconds(50);
+        engine.confirmDirectory(now);
+        engine.confirmCancellations(now);
         for (const auto& command : engine.decideCommands(now)) {
             if (const auto* observe = std::get_if<observe_command>(&command))
                 engine.handleObserveReply("w0", *observe, { external::order_outcome::Accepted, { 1, worker.incarnation, {}, {} } }, now, now);
--- a/tests/auto/jobs/tst_delayed_leader.cpp
+++ b/tests/auto/jobs/tst_delayed_leader.cpp
@@ -85,3 +85,30 @@
     for (const auto& violation : delayed.fleet.violations())
         EXPECT_EQ(violation.find("while it makes progress"), std::string::npos) << violation;
 }
+
+// Tasks were started on draining workers for as long as the leader had not handled their entries.
+TEST_P(delayed_leader, NothingIsStartedOnDrainingWorkers)
+{
+    delayed_fleet delayed(GetParam());
+    for (int round = 0; round < roundCount; ++round) {
+        delayed.runRound();
+        if (round % 4 == 1)
+            delayed.fleet.drainWorker(delayed.drawWorker());
+        if (round % 4 == 3)
+            delayed.fleet.restartWorker(delayed.drawWorker());
+    }
+    for (const auto& violation : delayed.fleet.violations())
+        EXPECT_EQ(violation.find("which drains"), std::string::npos) << violation;
+}
+
+// Tasks of jobs that other daemons had cancelled were started for as long as the leader had not handled the inbox.
+TEST_P(delayed_leader, NothingIsStartedForCancelledJobs)
+{
+    delayed_fleet delayed(GetParam());
+    for (int round = 0; round < roundCount; ++round) {
+        delayed.runRound();
+        delayed.cancelJob();
+    }
+    for (const auto& violation : delayed.fleet.violations())
+        EXPECT_EQ(violation.find("after its cancellation"), std::string::npos) << violation;
+}
--- a/tests/auto/tasks/tst_coordinator_parts.cpp
+++ b/tests/auto/tasks/tst_coordinator_parts.cpp
@@ -101,6 +101,26 @@
     EXPECT_EQ(reported, "2");
 }
 
+// The directory of a large fleet changes all the time, and its age decides whether tasks are started.
+TEST(PrefixWatch, LongPollConfirmsTheCopy)
+{
+    transport::event_loop loop;
+    memory_store store(loop);
+    prefix_watch watch(
+        loop, store, "workers", utils::milliseconds(5000), [](const std::string&, const external::key_value*) {}, [] {});
+    watch.start();
+    runLoop(loop, shortRunTime);
+    const auto listedAt = watch.confirmedAt();
+    store.put("workers", "1");
+    runLoop(loop, shortRunTime);
+    const auto handledAt = utils::nowIncludingSuspend();
+    store.put("workers", "2");
+    runLoop(loop, shortRunTime);
+    EXPECT_GT(watch.confirmedAt(), listedAt);
+    // The copy is as old as the request, not as its reply.
+    EXPECT_LT(watch.confirmedAt(), handledAt);
+}
+
 // Guards against a lost cancellation: its inbox entry was written while the leader processed the entry of the job's
 // submission, and was never processed. Seen in lsct-confirm trouble-3 --seed 743480878399 (UNASKED, 40 tasks).
 TEST(InboxTracker, EntryThatIsWrittenAgainIsProcessedAgain)
