--- a/src/tasks/coordinator/prefix_watch.cpp
+++ b/src/tasks/coordinator/prefix_watch.cpp
@@ -55,7 +55,7 @@
         m_isRefreshing = false;
         if (generation != m_generation || !applyWatchResult(result))
             return;
-        m_confirmedAt = sentAt;
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
         m_onSynced();
     });
 }
@@ -90,6 +90,11 @@
     return m_confirmedAt;
 }
 
+utils::time_point prefix_watch::completeUntil(utils::time_point now) const
+{
+    return m_isSynced ? m_confirmedAt : now;
+}
+
 external::revision prefix_watch::revision() const
 {
     return m_revision;
@@ -117,7 +122,7 @@
             return;
         }
         m_failedListings = 0;
-        m_confirmedAt = sentAt;
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
         applyListing(*listing);
         if (!alive.expired() && generation == m_generation && m_isLongPolling)
             requestChanges();
@@ -198,12 +203,14 @@
 {
     m_isWatchOpen = true;
     const auto generation = m_generation;
-    m_store.watch(m_prefix, m_revision, m_watchTimeout, [this, generation, alive = std::weak_ptr(m_alive)](const absl::StatusOr<external::watch_result>& result) {
+    const auto sentAt = utils::nowIncludingSuspend();
+    m_store.watch(m_prefix, m_revision, m_watchTimeout, [this, generation, sentAt, alive = std::weak_ptr(m_alive)](const absl::StatusOr<external::watch_result>& result) {
         if (alive.expired() || generation != m_generation)
             return;
         m_isWatchOpen = false;
         if (!m_isLongPolling || !applyWatchResult(result))
             return;
+        m_confirmedAt = std::max(m_confirmedAt, sentAt);
         m_onSynced();
         if (alive.expired() || generation != m_generation || m_isWatchOpen)
             return;
