Jobs, coordinator: Check the numbers of stored records and peer messages

Cause: a stored job wasn't checked when a leader adopts or restores it, nor a job in another daemon's call. By reading: a step with 4,294,967,295 tasks makes insertJob() allocate them, a dependency on a step that doesn't exist reads beyond a vector in deadlineOf(), in one leader after the other. Durations, terms, run numbers, incarnations and rests of leases were added to time points or multiplied unchecked; a task listed twice in a progress was counted as done twice; learned values could be no numbers.

Change: parseJob() and decodeCall() run validate() and check bounds; parseProgress(), parseLeader(), parseRoster() and parseLearned() check theirs; their callers log what is rejected already. decodeCall() rejects an unknown kind or an absurd timeout, a relayed report or reply and a rules update with a number out of bounds are dropped or Malformed with a log line. The deadline of a job is cut at 30 years before its conversion.

Before: tst_odd_records against the former job_record.cpp: 28 of 29 cases fail (the values are accepted). After: 29 pass. tst_odd_peer_messages (24 cases) was not run against the former codecs, whose decodeCall() returned no status; they had no checks but for outcomes and causes. tst_job_engine, tst_crashing_tasks, tst_late_crashes, tst_coordinator_parts and tst_rules_follower pass.

--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -7,6 +7,13 @@
 
 namespace camphorsaddle::jobs {
 
+namespace {
+
+    // About 30 years, which a time point in nanoseconds holds.
+    constexpr double maximumSlackMilliseconds = 1e12;
+
+} // namespace
+
 job_engine::job_engine(engine_settings settings, std::uint64_t term, event_callback onEvent)
     : m_settings(settings)
     , m_term(term)
@@ -436,7 +443,7 @@
     const auto* rules = rulesOf(job);
     const double slack = rules == nullptr ? 1 : rules->slackFactor;
     const auto target = rules == nullptr ? utils::milliseconds(0) : rules->targetLatency;
-    return job.acceptedAt + utils::milliseconds(static_cast<std::int64_t>(slack * static_cast<double>(longest.count()))) + target;
+    return job.acceptedAt + utils::milliseconds(static_cast<std::int64_t>(std::min(slack * static_cast<double>(longest.count()), maximumSlackMilliseconds))) + target;
 }
 
 utils::milliseconds job_engine::expectedDuration(const job_state& job, unsigned step) const
--- a/src/libs/jobs/job_record.cpp
+++ b/src/libs/jobs/job_record.cpp
@@ -1,5 +1,10 @@
 #include "jobs/job_record.h"
 
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "absl/strings/str_cat.h"
 #include "protocol/jobs.pb.h"
 #include "utils/errors.h"
 
@@ -78,6 +83,62 @@
         }
     }
 
+    // Bounds of stored values, within which sums and conversions hold.
+    constexpr std::int64_t maximumProcessors = 100'000'000; // millicores
+    constexpr std::int64_t maximumMemory = 1'000'000'000; // MiB
+    constexpr std::int64_t maximumAccelerators = 100'000;
+    constexpr std::int64_t millisecondsPerDay = 86'400'000;
+    constexpr std::int64_t maximumDuration = 365 * millisecondsPerDay;
+    // Unix times and workers' clocks, in ms.
+    constexpr std::int64_t maximumTime = 100 * 365 * millisecondsPerDay;
+    constexpr std::int64_t maximumLeaseLeft = millisecondsPerDay;
+    // Terms and run numbers; a term has thousands of run numbers.
+    constexpr std::uint64_t maximumTerm = 1'000'000'000'000;
+    constexpr std::uint64_t maximumRunNumber = 1'000'000'000'000'000'000;
+    constexpr unsigned maximumCrashCount = 1'000'000;
+    constexpr double maximumPressure = 1e12;
+    constexpr double maximumRatio = 1'000'000;
+
+    bool isWithin(std::int64_t value, std::int64_t highest)
+    {
+        return value >= 0 && value <= highest;
+    }
+
+    absl::Status outOfBounds(absl::string_view step, absl::string_view field)
+    {
+        return utils::makeError(absl::StatusCode::kDataLoss, step, "store", absl::StrCat(field, " is out of bounds"));
+    }
+
+    absl::Status checkBounds(const job_spec& job)
+    {
+        if (!isWithin(job.acceptedAt.count(), maximumTime))
+            return outOfBounds("read job", "the time of acceptance");
+        for (const auto& step : job.steps) {
+            if (step.taskResources.processors > maximumProcessors || step.taskResources.memory > maximumMemory || step.taskResources.accelerators > maximumAccelerators)
+                return outOfBounds("read job", "a request for resources");
+            if (!isWithin(step.estimate.count(), maximumDuration) || !isWithin(step.latencyTarget.count(), maximumDuration))
+                return outOfBounds("read job", "an estimate or a latency target");
+        }
+        return absl::OkStatus();
+    }
+
+    absl::Status checkBounds(const job_progress& progress)
+    {
+        std::set<std::pair<unsigned, unsigned>> tasks;
+        for (const auto& task : progress.tasks) {
+            if (!tasks.emplace(task.step, task.index).second)
+                return utils::makeError(absl::StatusCode::kDataLoss, "read progress", "store", absl::StrCat("task ", task.step, ".", task.index, " is listed twice"));
+            const bool hasOddRun = std::ranges::any_of(task.failedRuns, [](std::uint64_t run) { return run > maximumRunNumber; });
+            if (task.lastRun > maximumRunNumber || hasOddRun)
+                return outOfBounds("read progress", "the number of a run");
+            if (std::max({ task.crashCount, task.unconfirmedCrashCount, task.lateCrashCount }) > maximumCrashCount)
+                return outOfBounds("read progress", "a number of crashes");
+            if (std::ranges::any_of(task.possibleCrashes, [](const auto& crash) { return crash.run > maximumRunNumber || !isWithin(crash.workerIncarnation, maximumTime); }))
+                return outOfBounds("read progress", "a possible crash");
+        }
+        return absl::OkStatus();
+    }
+
     template <typename Record>
     absl::StatusOr<Record> parseRecord(const std::string& value, absl::string_view step)
     {
@@ -108,6 +169,16 @@
     return job;
 }
 
+absl::StatusOr<job_spec> readCheckedJob(const protocol::JobRecord& record)
+{
+    auto job = readJob(record);
+    if (auto status = validate(job); !status.ok())
+        return status;
+    if (auto status = checkBounds(job); !status.ok())
+        return status;
+    return job;
+}
+
 std::string encodeJob(const job_spec& job)
 {
     protocol::JobRecord record;
@@ -192,7 +263,7 @@
     const auto record = parseRecord<protocol::JobRecord>(value, "read job");
     if (!record.ok())
         return record.status();
-    return readJob(*record);
+    return readCheckedJob(*record);
 }
 
 absl::StatusOr<job_progress> parseProgress(const std::string& value)
@@ -206,6 +277,8 @@
         for (const auto& crash : task.possible_crashes())
             progress.tasks.back().possibleCrashes.push_back({ crash.run(), crash.worker(), crash.worker_endpoint(), crash.worker_incarnation(), crash.confirmed(), crash.isolated(), crash.late() });
     }
+    if (auto status = checkBounds(progress); !status.ok())
+        return status;
     return progress;
 }
 
@@ -214,6 +287,8 @@
     const auto record = parseRecord<protocol::LeaderRecord>(value, "read leader");
     if (!record.ok())
         return record.status();
+    if (record->term() > maximumTerm)
+        return outOfBounds("read leader", "the term");
     return leader_record { record->daemon(), record->incarnation(), record->endpoint(), record->term() };
 }
 
@@ -222,11 +297,21 @@
     const auto record = parseRecord<protocol::LearnedRecord>(value, "read learned values");
     if (!record.ok())
         return record.status();
+    // Also false for values that aren't numbers.
+    const auto isBounded = [](double value, double highest) {
+        return std::abs(value) <= highest;
+    };
     learned_record learned;
-    for (const auto& pressure : record->pressures())
+    for (const auto& pressure : record->pressures()) {
+        if (!isBounded(pressure.mean(), maximumPressure) || !isBounded(pressure.variance(), maximumPressure) || pressure.variance() < 0)
+            return outOfBounds("read learned values", "a pressure");
         learned.pressures.push_back({ pressure.serving(), pressure.fill(), pressure.mean(), pressure.variance() });
-    for (const auto& ratio : record->ratios())
+    }
+    for (const auto& ratio : record->ratios()) {
+        if (!isBounded(ratio.ratio(), maximumRatio) || ratio.ratio() < 0)
+            return outOfBounds("read learned values", "a ratio");
         learned.ratios[ratio.queue()] = ratio.ratio();
+    }
     return learned;
 }
 
@@ -236,8 +321,13 @@
     if (!record.ok())
         return record.status();
     worker_roster roster { { record->workers().begin(), record->workers().end() }, record->ended_term(), {} };
-    for (const auto& silent : record->silent())
+    if (record->ended_term() > maximumTerm)
+        return outOfBounds("read roster", "the ended term");
+    for (const auto& silent : record->silent()) {
+        if (!isWithin(silent.lease_left_ms(), maximumLeaseLeft))
+            return outOfBounds("read roster", "the rest of a lease");
         roster.silent[silent.worker()] = utils::milliseconds(silent.lease_left_ms());
+    }
     return roster;
 }
 
--- a/src/libs/jobs/job_record.h
+++ b/src/libs/jobs/job_record.h
@@ -93,6 +93,8 @@
 //! \brief Conversion between a job and its protobuf message.
 void writeJob(const job_spec& job, protocol::JobRecord& record);
 job_spec readJob(const protocol::JobRecord& record);
+//! \brief Conversion with a check of all numbers; returns an error for a job that no daemon can have accepted.
+absl::StatusOr<job_spec> readCheckedJob(const protocol::JobRecord& record);
 
 //! \brief Encoders of the values in the store.
 std::string encodeJob(const job_spec& job);
@@ -101,7 +103,8 @@
 std::string encodeLearned(const learned_record& learned);
 std::string encodeRoster(const worker_roster& roster);
 
-//! \brief Decoders of the values in the store; they return DataLoss if the bytes can't be parsed.
+//! \brief Decoders of the values in the store; they return DataLoss if the bytes can't be parsed, and an error if a value
+//! is out of bounds.
 absl::StatusOr<job_spec> parseJob(const std::string& value);
 absl::StatusOr<job_progress> parseProgress(const std::string& value);
 absl::StatusOr<leader_record> parseLeader(const std::string& value);
--- a/src/tasks/coordinator/call_codec.cpp
+++ b/src/tasks/coordinator/call_codec.cpp
@@ -1,9 +1,20 @@
 #include "tasks/coordinator/call_codec.h"
 
+#include <algorithm>
+
+#include "input/printable_text.h"
 #include "jobs/job_record.h"
+#include "utils/errors.h"
 
 namespace camphorsaddle::tasks {
 
+namespace {
+
+    // Longest time that a message may state.
+    constexpr std::int64_t maximumMilliseconds = 86'400'000;
+
+} // namespace
+
 protocol::CoordinatorEnvelope encodeCall(const job_call& call, const std::string& replyEndpoint)
 {
     protocol::CoordinatorEnvelope envelope;
@@ -31,15 +42,26 @@
     return envelope;
 }
 
-job_call decodeCall(const protocol::CoordinatorCall& call)
+absl::StatusOr<job_call> decodeCall(const protocol::CoordinatorCall& call)
 {
+    const auto error = [&](absl::string_view cause) {
+        return utils::makeError(absl::StatusCode::kInvalidArgument, "read call", input::printableText(call.reply_endpoint()), cause);
+    };
     job_call result;
     result.ticket = call.ticket();
+    if (call.kind() < 0 || call.kind() >= static_cast<int>(callKindCount))
+        return error("the kind of the call is unknown");
     result.kind = static_cast<call_kind>(call.kind());
     result.subject = call.subject();
-    if (call.has_job())
-        result.job = jobs::readJob(call.job());
+    if (call.patience_ms() < 0 || call.patience_ms() > maximumMilliseconds)
+        return error("the time that the caller waits is out of bounds");
     result.timeout = utils::milliseconds(call.patience_ms());
+    if (result.kind != call_kind::Submit)
+        return result;
+    auto job = jobs::readCheckedJob(call.job());
+    if (!job.ok())
+        return job.status();
+    result.job = *std::move(job);
     return result;
 }
 
@@ -51,7 +73,7 @@
     result.outcome = isKnown ? static_cast<call_outcome>(reply.outcome()) : call_outcome::NotLeader;
     result.phase = isKnown ? static_cast<jobs::job_phase>(reply.state()) : jobs::job_phase::Queued;
     result.pending = reply.pending();
-    result.retryAfter = utils::milliseconds(reply.retry_after_ms());
+    result.retryAfter = utils::milliseconds(std::clamp<std::int64_t>(reply.retry_after_ms(), 0, maximumMilliseconds));
     result.reason = reply.reason();
     return result;
 }
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -218,7 +218,12 @@
 
 void coordinator_task::onPeerCall(const protocol::CoordinatorCall& message)
 {
-    const auto call = decodeCall(message);
+    const auto decoded = decodeCall(message);
+    if (!decoded.ok()) {
+        utils::logEvent(utils::events::peerMessageDropped, { { "reason", "call out of bounds" }, { "error", utils::describe(decoded.status()) } });
+        return;
+    }
+    const auto& call = *decoded;
     const auto& endpoint = message.reply_endpoint();
     if (m_term == nullptr) {
         send(endpoint, encodeReply({ call.ticket, call_outcome::NotLeader, jobs::job_phase::Queued, 0, utils::milliseconds(0), {} }));
--- a/src/tasks/coordinator/rules_codec.cpp
+++ b/src/tasks/coordinator/rules_codec.cpp
@@ -1,7 +1,21 @@
 #include "tasks/coordinator/rules_codec.h"
 
+#include <algorithm>
+
+#include "utils/errors.h"
+
 namespace camphorsaddle::tasks {
 
+namespace {
+
+    // A year and 100 years in ms.
+    constexpr std::int64_t maximumDuration = 365LL * 86'400'000;
+    constexpr std::int64_t maximumUptime = 100 * maximumDuration;
+    constexpr double maximumSlackFactor = 1'000'000;
+    constexpr std::uint64_t maximumBodyBytes = 1 << 30;
+
+} // namespace
+
 void writeRulesChange(const jobs::rules_change& change, protocol::RulesUpdate& target)
 {
     target.set_from_revision(change.from);
@@ -26,6 +40,20 @@
         target.add_removed(name);
 }
 
+absl::Status checkRulesUpdate(const protocol::RulesUpdate& source)
+{
+    const auto isDuration = [](std::int64_t milliseconds) {
+        return milliseconds >= 0 && milliseconds <= maximumDuration;
+    };
+    const auto isSound = [&](const auto& queue) {
+        return isDuration(queue.target_latency_ms()) && isDuration(queue.timeout_ms()) && queue.priority() >= 0 && queue.slack_factor() >= 0 && queue.slack_factor() <= maximumSlackFactor;
+    };
+    const bool areTimesSound = isDuration(source.age_ms()) && source.hello_us() >= 0 && source.hello_us() / 1000 <= maximumUptime;
+    if (!areTimesSound || source.body_limit() > maximumBodyBytes || !std::ranges::all_of(source.changed(), isSound))
+        return utils::makeError(absl::StatusCode::kInvalidArgument, "read rules", "leader", "a number of the change is out of bounds");
+    return absl::OkStatus();
+}
+
 jobs::rules_change readRulesChange(const protocol::RulesUpdate& source)
 {
     jobs::rules_change change { source.from_revision(), source.revision(), source.version(), source.body_limit(), {}, { source.removed().begin(), source.removed().end() } };
--- a/src/tasks/coordinator/rules_follower.cpp
+++ b/src/tasks/coordinator/rules_follower.cpp
@@ -158,6 +158,10 @@
 
 void rules_follower::applyUpdate(const protocol::RulesUpdate& update)
 {
+    if (const auto status = checkRulesUpdate(update); !status.ok()) {
+        utils::logEvent(utils::events::peerMessageDropped, { { "reason", "rules out of bounds" }, { "error", utils::describe(status) } });
+        return;
+    }
     const auto change = readRulesChange(update);
     const bool isNew = change.to != m_history.revision();
     if (isNew && !m_history.applyChange(change)) {
--- a/src/tasks/coordinator/run_codec.cpp
+++ b/src/tasks/coordinator/run_codec.cpp
@@ -1,9 +1,34 @@
 #include "tasks/coordinator/run_codec.h"
 
+#include <algorithm>
+
+#include "utils/events.h"
+
 namespace camphorsaddle::tasks {
 
 namespace {
 
+    // 100 years in ms; a worker's clock counts from its start or from 1970, its incarnation is a time since 1970.
+    constexpr std::int64_t maximumTime = 100LL * 365 * 86'400'000;
+    // Latency in ms or thousandths of a core.
+    constexpr std::int64_t maximumLoad = 1'000'000'000'000;
+    constexpr int maximumPercent = 100;
+
+    bool isWithin(std::int64_t value, std::int64_t highest)
+    {
+        return value >= 0 && value <= highest;
+    }
+
+    bool isWithinBounds(const external::observation& state)
+    {
+        return isWithin(state.clock, maximumTime) && isWithin(state.incarnation, maximumTime) && std::ranges::all_of(state.running, [](const auto& report) { return isWithin(report.percent, maximumPercent) && isWithin(report.load, maximumLoad); });
+    }
+
+    void logOutOfBounds(absl::string_view step, const protocol::RunReply& source)
+    {
+        utils::logEvent(utils::events::peerAnswerUnreadable, { { "step", std::string(step) }, { "clock", std::to_string(source.clock()) }, { "life", std::to_string(source.life()) }, { "running", std::to_string(source.running_size()) }, { "error", "a relayed number is out of bounds" } });
+    }
+
     external::order_outcome toOutcome(int number)
     {
         const bool isKnown = number >= 0 && number < static_cast<int>(external::orderOutcomeCount);
@@ -60,7 +85,10 @@
 
 external::order_reply readOrderReply(const protocol::RunReply& source)
 {
-    return { toOutcome(source.outcome()), source.clock() };
+    if (isWithin(source.clock(), maximumTime))
+        return { toOutcome(source.outcome()), source.clock() };
+    logOutOfBounds("relayed reply", source);
+    return { toOutcome(source.outcome()), 0 };
 }
 
 external::observe_reply readObserveReply(const protocol::RunReply& source)
@@ -70,6 +98,10 @@
         reply.workerState.running.push_back({ readRun(row.run()), row.checkpoint(), row.percent(), row.load() });
     for (const auto& row : source.ended())
         reply.workerState.ended.push_back({ row.number(), readRun(row.run()), toEndCause(row.cause()), row.checkpoint() });
+    if (!isWithinBounds(reply.workerState)) {
+        logOutOfBounds("relayed report", source);
+        return { external::order_outcome::Malformed, {} };
+    }
     return reply;
 }
 
--- a/src/tasks/coordinator/run_codec.h
+++ b/src/tasks/coordinator/run_codec.h
@@ -10,7 +10,7 @@
 
 void writeReply(const external::order_reply& reply, protocol::RunReply& target);
 void writeReply(const external::observe_reply& reply, protocol::RunReply& target);
-//! \brief Decodes a reply; unknown outcomes become NoAnswer.
+//! \brief Decodes a reply; unknown outcomes become NoAnswer, a report with a number out of bounds becomes Malformed.
 external::order_reply readOrderReply(const protocol::RunReply& source);
 external::observe_reply readObserveReply(const protocol::RunReply& source);
 
