--- a/src/libs/external/http_key_value_store.cpp
+++ b/src/libs/external/http_key_value_store.cpp
@@ -4,6 +4,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "external/json_http.h"
+#include "external/limits.h"
 
 namespace camphorsaddle::external {
 
@@ -12,8 +13,8 @@
     std::string decodeValue(const nlohmann::json& entry)
     {
         std::string value;
-        if (!absl::Base64Unescape(entry.at("value").get<std::string>(), &value))
-            throw nlohmann::json::other_error::create(501, "a value is not valid base64", &entry);
+        if (!absl::Base64Unescape(input::readText(input::requireField(entry, "value"), "value", limits::payload), &value))
+            throw input::input_error("a value is not valid base64");
         return value;
     }
 
@@ -40,23 +41,23 @@
         auto body = parseBody(result, step, peer);
         if (!body.ok())
             return body.status();
-        return readFields(step, peer, [&] { return body->at("version").get<revision>(); });
+        return readFields(step, peer, [&] { return input::readUnsigned(input::requireField(*body, "version"), "version"); });
     }
 
     key_listing readListing(const nlohmann::json& body)
     {
-        key_listing listing { body.at("revision").get<revision>(), {} };
-        for (const auto& entry : body.at("entries"))
-            listing.entries.push_back({ entry.at("key").get<std::string>(), entry.at("version").get<revision>(), decodeValue(entry) });
+        key_listing listing { input::readUnsigned(input::requireField(body, "revision"), "revision"), {} };
+        for (const auto& entry : input::readList(input::requireField(body, "entries"), "entries", limits::rowsPerList))
+            listing.entries.push_back({ input::textField(entry, "key", limits::key), input::readUnsigned(input::requireField(entry, "version"), "version"), decodeValue(entry) });
         return listing;
     }
 
     watch_result readChanges(const nlohmann::json& body)
     {
-        watch_result result { body.at("revision").get<revision>(), {} };
-        for (const auto& entry : body.at("events")) {
-            const bool deleted = entry.value("deleted", false);
-            result.changes.push_back({ entry.at("key").get<std::string>(), entry.at("version").get<revision>(), deleted ? std::string() : decodeValue(entry), deleted });
+        watch_result result { input::readUnsigned(input::requireField(body, "revision"), "revision"), {} };
+        for (const auto& entry : input::readList(input::requireField(body, "events"), "events", limits::rowsPerList)) {
+            const bool deleted = input::flagField(entry, "deleted", false);
+            result.changes.push_back({ input::textField(entry, "key", limits::key), input::readUnsigned(input::requireField(entry, "version"), "version"), deleted ? std::string() : decodeValue(entry), deleted });
         }
         return result;
     }
--- a/src/libs/external/http_worker_control.cpp
+++ b/src/libs/external/http_worker_control.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "external/json_http.h"
+#include "external/limits.h"
 
 namespace camphorsaddle::external {
 
@@ -39,9 +40,8 @@
 
     std::string errorReason(const transport::http_response& response)
     {
-        const auto body = json::parse(response.body, nullptr, false);
-        const bool hasReason = body.is_object() && body.contains("reason") && body["reason"].is_string();
-        return hasReason ? body["reason"].get<std::string>() : absl::StrCat("status ", response.status);
+        const auto reason = input::readInput(absl::StatusCode::kInternal, "read reason", "", [&] { return input::textField(input::parseObject(response.body, limits::reply), "reason", limits::name); });
+        return reason.ok() ? *reason : absl::StrCat("status ", response.status);
     }
 
     void send(const worker_call& call, std::string method, const std::string& path, const json& content, json_callback callback)
@@ -89,33 +89,34 @@
 
     model::resources readResources(const json& value)
     {
-        return { value.value("processors", std::int64_t { 0 }), value.value("memory", std::int64_t { 0 }), value.value("accelerators", std::int64_t { 0 }) };
+        return { input::wholeField(value, "processors", limits::processors, 0), input::wholeField(value, "memory", limits::memory, 0), input::wholeField(value, "accelerators", limits::accelerators, 0) };
     }
 
     attempt_state readState(const json& value)
     {
         static const std::map<std::string, attempt_state> names { { "running", attempt_state::Running }, { "finished", attempt_state::Finished }, { "failed", attempt_state::Failed } };
-        const auto found = names.find(value.get<std::string>());
+        const auto found = names.find(input::readText(value, "state", limits::name));
         if (found == names.end())
-            throw json::other_error::create(501, "unknown attempt state", &value);
+            throw input::input_error("unknown attempt state");
         return found->second;
     }
 
     attempt_report readAttempt(const json& value)
     {
         attempt_report report;
-        report.key = { value.at("task").get<std::string>(), value.at("attempt").get<std::uint32_t>(), value.at("epoch").get<std::uint64_t>() };
-        report.state = readState(value.at("state"));
-        report.checkpoint = value.value("checkpoint", "");
-        report.usage = readResources(value.value("usage", json::object()));
-        report.cause = value.value("cause", "");
+        report.key = { input::textField(value, "task", limits::name), static_cast<std::uint32_t>(input::wholeField(value, "attempt", limits::attempt)), input::readUnsigned(input::requireField(value, "epoch"), "epoch") };
+        report.state = readState(input::requireField(value, "state"));
+        report.checkpoint = input::textField(value, "checkpoint", limits::payload, {});
+        if (const auto* usage = input::findField(value, "usage"))
+            report.usage = readResources(*usage);
+        report.cause = input::textField(value, "cause", limits::payload, {});
         return report;
     }
 
     std::vector<attempt_report> readAttempts(const json& values)
     {
         std::vector<attempt_report> reports;
-        for (const auto& value : values)
+        for (const auto& value : input::readList(values, "tasks", limits::rowsPerList))
             reports.push_back(readAttempt(value));
         return reports;
     }
@@ -123,10 +124,12 @@
     worker_report readReport(const json& body)
     {
         worker_report report;
-        report.tasks = readAttempts(body.at("tasks"));
-        for (const auto& value : body.value("services", json::array()))
-            report.services.push_back({ value.at("service").get<std::string>(), value.value("replica", ""), value.value("latency_ms", 0.0), value.value("load", 0.0) });
-        report.usageAge = utils::milliseconds(body.value("measured_ms_ago", std::int64_t { 0 }));
+        report.tasks = readAttempts(input::requireField(body, "tasks"));
+        if (const auto* services = input::findField(body, "services")) {
+            for (const auto& value : input::readList(*services, "services", limits::rowsPerList))
+                report.services.push_back({ input::textField(value, "service", limits::name), input::textField(value, "replica", limits::name, {}), input::realField(value, "latency_ms", limits::latency, 0), input::realField(value, "load", limits::load, 0) });
+        }
+        report.usageAge = utils::milliseconds(input::wholeField(body, "measured_ms_ago", limits::duration, 0));
         return report;
     }
 
@@ -152,7 +155,7 @@
 {
     const worker_call call { m_client, m_timeout, worker, "read the inventory" };
     send(call, "GET", "/v1/inventory", nullptr, answerParser<worker_inventory>(call, std::move(callback), [](const json& body) {
-        return worker_inventory { readResources(body.at("capacity")), readAttempts(body.at("tasks")) };
+        return worker_inventory { readResources(input::requireField(body, "capacity")), readAttempts(input::requireField(body, "tasks")) };
     }));
 }
 
@@ -183,7 +186,7 @@
 {
     const worker_call call { m_client, m_timeout, worker, absl::StrCat("checkpoint ", key.task) };
     send(call, "POST", taskPath(key, "checkpoint"), attemptFields(key), answerParser<std::string>(call, std::move(callback), [](const json& body) {
-        return body.at("checkpoint").get<std::string>();
+        return input::textField(body, "checkpoint", limits::payload);
     }));
 }
 
@@ -199,7 +202,7 @@
 {
     const worker_call call { m_client, m_timeout, worker, absl::StrCat("stop ", key.task) };
     send(call, "POST", taskPath(key, "stop"), attemptFields(key), answerParser<stop_result>(call, std::move(callback), [](const json& body) {
-        return body.at("state").get<std::string>() == "absent" ? stop_result::Absent : stop_result::Stopped;
+        return input::textField(body, "state", limits::name) == "absent" ? stop_result::Absent : stop_result::Stopped;
     }));
 }
 
