--- a/tests/auto/tasks/tst_coordinator_parts.cpp
+++ b/tests/auto/tasks/tst_coordinator_parts.cpp
@@ -132,7 +132,7 @@
     runLoop(loop, shortRunTime);
     const auto later = utils::nowIncludingSuspend() + std::chrono::hours(1);
     EXPECT_EQ(watch.completeUntil(later), watch.confirmedAt());
-    store.isDown = true;
+    store.replyMode = reply_mode::Refuses;
     watch.refresh();
     runLoop(loop, shortRunTime);
     EXPECT_EQ(watch.completeUntil(later), later);
