Relayed orders: Make relay choices and overdue orders cheap

A leader that loses many replies at once pays for it beside the orders: each choice of a relay copied all relays and hashed each of them about twice with the worker, and each look for overdue orders, 20 a second, went through all open orders twice. Unanswered orders stay open for 6 s more, so that there are most when the leader is slowest.

New test Times/late_reply.IsDeliveredWithinItsWindow: a reply counts until 6 s after the order was reported, not later. It guards the new index and has no failing state before. tst_interference (relay choice) passes.

--- a/bench/capacity/cost_measurement.h
+++ b/bench/capacity/cost_measurement.h
@@ -27,6 +27,8 @@
 std::vector<cost_measurement> measureHeartbeatCosts();
 //! \brief Processor time that a leader's engine, codecs and log lines take for each second of a large deployment's load.
 std::vector<cost_measurement> measureLeaderCosts();
+//! \brief Processor time of a leader's channel to its relays, whose sockets are left out.
+std::vector<cost_measurement> measureRelayCosts();
 //! \brief Processor time and memory of real daemons under load; empty if they do not become ready.
 std::vector<cost_measurement> measureDaemonCosts();
 
--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -14,9 +14,9 @@
 
     std::vector<std::vector<cost_measurement>> groups;
     if (measuresLeader.getValue())
-        groups = { measureLeaderCosts() };
+        groups = { measureLeaderCosts(), measureRelayCosts() };
     else
-        groups = { measureJournalCosts(), measureTaskRecordCosts(), measureWorkerCallCosts(), measureConfigurationCosts(), measureHeartbeatCosts(), measureLeaderCosts() };
+        groups = { measureJournalCosts(), measureTaskRecordCosts(), measureWorkerCallCosts(), measureConfigurationCosts(), measureHeartbeatCosts(), measureLeaderCosts(), measureRelayCosts() };
     if (measuresDaemons.getValue())
         groups.push_back(measureDaemonCosts());
     for (const auto& group : groups) {
--- a/src/tasks/coordinator/relayed_run_control.cpp
+++ b/src/tasks/coordinator/relayed_run_control.cpp
@@ -46,9 +46,20 @@
 
 void relayed_run_control::updateRelay(const jobs::relay_daemon& relay, utils::time_point now)
 {
-    if (!m_relays.contains(relay.endpoint))
+    const auto known = m_relays.find(relay.endpoint);
+    if (known == m_relays.end())
         utils::logEvent(utils::events::carrierFound, { { "carrier", relay.endpoint }, { "data_centre", relay.dataCentre } });
+    const bool isChanged = known == m_relays.end() || known->second.relay != relay;
     m_relays[relay.endpoint] = { relay, now };
+    if (isChanged)
+        listRelays();
+}
+
+void relayed_run_control::listRelays()
+{
+    m_relayList.clear();
+    for (const auto& [endpoint, known] : m_relays)
+        m_relayList.push_back(known.relay);
 }
 
 void relayed_run_control::setWorkerDataCentre(const std::string& worker, const std::string& dataCentre)
@@ -60,8 +71,10 @@
 {
     m_flushTimer.stop();
     m_openOrders.clear();
+    m_deadlines.clear();
     m_queuedOrders.clear();
     m_relays.clear();
+    m_relayList.clear();
     for (auto& [id, worker] : m_workers)
         worker = { worker.dataCentre, {}, 0, false };
 }
@@ -71,12 +84,9 @@
     auto& worker = m_workers[id];
     if (!worker.needsOtherRelay && m_relays.contains(worker.relayEndpoint))
         return worker.relayEndpoint;
-    std::vector<jobs::relay_daemon> relays;
-    for (const auto& [endpoint, knownRelay] : m_relays)
-        relays.push_back(knownRelay.relay);
     // The number of unanswered orders changes the hash, so that another relay is chosen if there is one.
     const auto hashKey = worker.consecutiveUnansweredOrders == 0 ? id : absl::StrCat(id, "#", worker.consecutiveUnansweredOrders);
-    const auto chosenRelay = jobs::chooseRelay(relays, hashKey, worker.dataCentre);
+    const auto chosenRelay = jobs::chooseRelay(m_relayList, hashKey, worker.dataCentre);
     const auto previousEndpoint = std::exchange(worker.relayEndpoint, chosenRelay ? chosenRelay->endpoint : std::string());
     worker.needsOtherRelay = false;
     if (!previousEndpoint.empty() && previousEndpoint != worker.relayEndpoint)
@@ -88,7 +98,9 @@
 {
     m_counters.orders.add();
     order.set_ticket(m_nextTicket++);
-    m_openOrders[order.ticket()] = { relayEndpoint, utils::nowIncludingSuspend() + relayReplyTimeout + wait, std::move(complete), order.worker(), false };
+    auto& opened = m_openOrders[order.ticket()];
+    opened = { relayEndpoint, {}, std::move(complete), order.worker(), false };
+    setDeadline(order.ticket(), opened, utils::nowIncludingSuspend() + relayReplyTimeout + wait);
     *m_queuedOrders[relayEndpoint].add_orders() = std::move(order);
     if (!m_flushTimer.isActive())
         m_flushTimer.startOnce(orderBatchingDelay);
@@ -113,6 +125,7 @@
         if (found == m_openOrders.end())
             continue;
         const auto order = std::move(found->second);
+        m_deadlines.erase({ order.deadline, reply.ticket() });
         m_openOrders.erase(found);
         if (order.isReportedUnanswered)
             m_counters.lateReplies.add();
@@ -122,11 +135,18 @@
     }
 }
 
-void relayed_run_control::reportUnanswered(open_order& order)
+void relayed_run_control::setDeadline(std::uint64_t ticket, open_order& order, utils::time_point deadline)
+{
+    m_deadlines.erase({ order.deadline, ticket });
+    order.deadline = deadline;
+    m_deadlines.emplace(deadline, ticket);
+}
+
+void relayed_run_control::reportUnanswered(std::uint64_t ticket, open_order& order)
 {
     m_counters.unansweredOrders.add();
     order.isReportedUnanswered = true;
-    order.deadline += lateReplyWindow;
+    setDeadline(ticket, order, order.deadline + lateReplyWindow);
     auto& worker = m_workers[order.worker];
     worker.needsOtherRelay = ++worker.consecutiveUnansweredOrders >= maximumUnansweredOrders;
     protocol::RunReply noAnswer;
@@ -139,6 +159,7 @@
 {
     utils::logEvent(utils::events::carrierLost, { { "carrier", relayEndpoint }, { "open_orders", std::to_string(m_openOrders.size()) } });
     m_relays.erase(relayEndpoint);
+    listRelays();
     std::vector<std::uint64_t> lostOrders;
     for (const auto& [ticket, order] : m_openOrders) {
         if (order.relayEndpoint == relayEndpoint && !order.isReportedUnanswered)
@@ -146,7 +167,7 @@
     }
     for (const auto ticket : lostOrders) {
         if (const auto found = m_openOrders.find(ticket); found != m_openOrders.end())
-            reportUnanswered(found->second);
+            reportUnanswered(ticket, found->second);
     }
 }
 
@@ -159,15 +180,15 @@
     }
     for (const auto& endpoint : silentRelays)
         dropRelay(endpoint);
-    std::erase_if(m_openOrders, [&](const auto& entry) { return entry.second.isReportedUnanswered && readUntil > entry.second.deadline; });
-    std::vector<std::uint64_t> overdueOrders;
-    for (const auto& [ticket, order] : m_openOrders) {
-        if (!order.isReportedUnanswered && readUntil > order.deadline)
-            overdueOrders.push_back(ticket);
-    }
-    for (const auto ticket : overdueOrders) {
-        if (const auto found = m_openOrders.find(ticket); found != m_openOrders.end())
-            reportUnanswered(found->second);
+    while (!m_deadlines.empty() && m_deadlines.begin()->first < readUntil) {
+        const auto ticket = m_deadlines.begin()->second;
+        const auto found = m_openOrders.find(ticket);
+        if (!found->second.isReportedUnanswered) {
+            reportUnanswered(ticket, found->second);
+            continue;
+        }
+        m_deadlines.erase(m_deadlines.begin());
+        m_openOrders.erase(found);
     }
 }
 
--- a/src/tasks/coordinator/relayed_run_control.h
+++ b/src/tasks/coordinator/relayed_run_control.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -69,7 +70,9 @@
     std::string relayForWorker(const std::string& id);
     void enqueue(const std::string& relayEndpoint, protocol::RunOrder order, utils::milliseconds wait, std::function<void(const protocol::RunReply&, bool isLate)> complete);
     //! \brief Reports an order as unanswered; after several in a row another relay is chosen for the worker.
-    void reportUnanswered(open_order& order);
+    void reportUnanswered(std::uint64_t ticket, open_order& order);
+    void setDeadline(std::uint64_t ticket, open_order& order, utils::time_point deadline);
+    void listRelays();
     void flush();
     void dropRelay(const std::string& relayEndpoint);
 
@@ -79,8 +82,12 @@
     relayed_order_counters& m_counters;
     transport::timer m_flushTimer;
     std::map<std::string, known_relay> m_relays;
+    //! The same relays, for the choice of one.
+    std::vector<jobs::relay_daemon> m_relayList;
     std::map<std::string, relayed_worker> m_workers;
     std::map<std::uint64_t, open_order> m_openOrders;
+    //! Deadlines of the open orders with their tickets.
+    std::set<std::pair<utils::time_point, std::uint64_t>> m_deadlines;
     std::map<std::string, protocol::RunOrders> m_queuedOrders;
     std::uint64_t m_nextTicket = 1;
 };
--- a/tests/auto/tasks/tst_relayed_orders.cpp
+++ b/tests/auto/tasks/tst_relayed_orders.cpp
@@ -228,6 +228,38 @@
     EXPECT_EQ(channel.direct.orders, 1U);
 }
 
+struct late_reply_case {
+    const char* name;
+    int readUntil;
+    unsigned lateReplies;
+};
+
+class late_reply : public testing::TestWithParam<late_reply_case> {
+};
+
+INSTANTIATE_TEST_SUITE_P(Times, late_reply, testing::Values(late_reply_case { "withinItsWindow", 5000, 1 }, late_reply_case { "afterItsWindow", 9000, 0 }),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST_P(late_reply, IsDeliveredWithinItsWindow)
+{
+    relayed_channel channel;
+    const auto now = utils::nowIncludingSuspend();
+    channel.observeWorkers(2);
+    runLoop(channel.loop, tickInterval);
+    channel.control.expireOrders(now + milliseconds(1000));
+    EXPECT_EQ(channel.counters.unansweredOrders.value(), 2U);
+    channel.control.expireOrders(now + milliseconds(GetParam().readUntil));
+    EXPECT_EQ(channel.counters.unansweredOrders.value(), 2U);
+    ASSERT_EQ(channel.tickets.size(), 2U);
+    protocol::RunReplies replies;
+    auto& reply = *replies.add_replies();
+    reply.set_ticket(channel.tickets.front());
+    tasks::writeReply(external::observe_reply { external::order_outcome::Accepted, {} }, reply);
+    channel.control.handleReplies(replies, now);
+    EXPECT_EQ(channel.counters.lateReplies.value(), GetParam().lateReplies);
+    EXPECT_EQ(channel.outcomes[external::order_outcome::Accepted], GetParam().lateReplies);
+}
+
 struct forwarded_call_case {
     const char* name;
     int readUntil;
