--- a/src/libs/jobs/relay_choice.h
+++ b/src/libs/jobs/relay_choice.h
@@ -27,6 +27,6 @@
 //!
 //! Returns few relays, since the leader's cost grows with the number of messages and each relay gets messages of its own. Weighted
 //! rendezvous hashing: when a selected relay is lost, one other takes its place.
-std::vector<relay_daemon> selectRelays(std::vector<relay_daemon> relays, std::size_t workerCount, const std::string& dataCentre);
+std::vector<relay_daemon> selectRelays(const std::vector<relay_daemon>& relays, std::size_t workerCount, const std::string& dataCentre);
 
 } // namespace camphorsaddle::jobs
