--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -10,6 +10,8 @@
 
     constexpr utils::milliseconds tick { 10 };
     constexpr utils::milliseconds storeDelay { 15 };
+    // A process has run for this long when it answers for the first time.
+    constexpr utils::milliseconds processStartTime { 5 };
 
 } // namespace
 
@@ -76,7 +78,7 @@
     return *worker;
 }
 
-void simulated_fleet::restartWorker(const std::string& id)
+void simulated_fleet::restartWorker(const std::string& id, utils::milliseconds entryDelay)
 {
     auto& worker = *m_workers.at(id);
     loseRuns(worker);
@@ -86,8 +88,17 @@
     ++worker.description.incarnation;
     worker.description.isDraining = false;
     m_drainingSince.erase(id);
-    if (!m_hasEntryRenewal)
+    worker.clockOrigin = m_now - processStartTime;
+    if (m_hasEntryRenewal)
+        return;
+    if (entryDelay.count() == 0) {
         announce(worker.description);
+        return;
+    }
+    schedule(entryDelay, [this, id] {
+        if (!m_removedWorkers.contains(id))
+            announce(m_workers.at(id)->description);
+    });
 }
 
 void simulated_fleet::setCapacity(const std::string& id, model::resources capacity)
@@ -110,7 +121,7 @@
     schedule(entryRenewalInterval, [this, id] { renewEntry(id); });
     if (m_isStoreDown || worker.faults.cannotRenewEntry || worker.faults.isDown || m_removedWorkers.contains(id))
         return;
-    worker.description.renewedAt = workerClock();
+    worker.description.renewedAt = clockOf(worker);
     m_entries[id] = worker.description;
     announce(worker.description);
 }
@@ -135,6 +146,11 @@
 {
     for (const auto& entry : worker.running)
         ++m_crashesUnderTask[entry.first];
+    // The engine can't tell a run whose end was never listed from one that ran until the crash.
+    for (const auto& end : worker.ended) {
+        if (end.number > worker.lastListedEnd)
+            ++m_crashesUnderTask[end.run.task];
+    }
     worker.running.clear();
     worker.ended.clear();
 }
@@ -230,9 +246,9 @@
     withdraw(id);
 }
 
-external::worker_time simulated_fleet::workerClock() const
+external::worker_time simulated_fleet::clockOf(const fake_worker& worker) const
 {
-    return std::chrono::duration_cast<utils::milliseconds>(m_now.time_since_epoch()).count();
+    return std::chrono::duration_cast<utils::milliseconds>(m_now - worker.clockOrigin).count();
 }
 
 void simulated_fleet::schedule(utils::milliseconds delay, std::function<void()> action)
--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -52,7 +52,7 @@
     const auto deadline = m_now + orderTimeout;
     const auto answerStop = [this, deadline, term](const stop_command& order, const external::order_reply& reply) {
         const auto handle = [this, order, term](const external::order_reply& handled) {
-            engineOfTerm(term)->handleStopReply(order.worker.id, order.run, handled, m_now);
+            engineOfTerm(term)->handleStopReply(order, handled, m_now);
         };
         handleReply(
             term, leader_input::OrderReply, deadline, [handle, reply](bool) { handle(reply); }, [handle] { handle({ external::order_outcome::NoAnswer, 0 }); });
@@ -76,7 +76,7 @@
                            else
                                worker.closed[order.run.task] = std::max(worker.closed[order.run.task], order.run.number);
                            worker.fence = std::max(worker.fence, term);
-                           answerStop(order, { outcome, workerClock() });
+                           answerStop(order, { outcome, clockOf(worker) });
                        });
                    },
                    [&](const pace_command& order) {
@@ -85,7 +85,7 @@
                            if (const auto found = worker.running.find(order.run.task); found != worker.running.end())
                                found->second.pace = order.percent;
                            handleReply(
-                               term, leader_input::OrderReply, m_now + std::chrono::hours(1), [this, order, term, clock = workerClock()](bool) { engineOfTerm(term)->handlePaceReply(order.worker.id, order.run, order.percent, { external::order_outcome::Accepted, clock }, m_now); }, [] {});
+                               term, leader_input::OrderReply, m_now + std::chrono::hours(1), [this, order, term, clock = clockOf(worker)](bool) { engineOfTerm(term)->handlePaceReply(order.worker.id, order.run, order.percent, { external::order_outcome::Accepted, clock }, m_now); }, [] {});
                        });
                    },
                    [&](const observe_command& order) { observe(order, term); },
@@ -144,20 +144,20 @@
 external::order_reply simulated_fleet::apply(fake_worker& worker, const external::run_order& order)
 {
     if (order.fence < worker.fence)
-        return { external::order_outcome::Fenced, workerClock() };
+        return { external::order_outcome::Fenced, clockOf(worker) };
     worker.fence = order.fence;
-    const auto end = std::min(utils::time_point() + utils::milliseconds(order.leaseEnd), m_now + longestLease);
+    const auto end = std::min(worker.clockOrigin + utils::milliseconds(order.leaseEnd), m_now + longestLease);
     if (end <= m_now)
-        return { external::order_outcome::LeaseEndPassed, workerClock() };
+        return { external::order_outcome::LeaseEndPassed, clockOf(worker) };
     worker.leaseEnd = std::max(worker.leaseEnd, end);
     if (worker.running.contains(order.run.task) && worker.running.at(order.run.task).run == order.run)
-        return { external::order_outcome::Accepted, workerClock() };
+        return { external::order_outcome::Accepted, clockOf(worker) };
     if (worker.closed.contains(order.run.task) && order.run.number <= worker.closed.at(order.run.task))
-        return { external::order_outcome::StaleRunNumber, workerClock() };
+        return { external::order_outcome::StaleRunNumber, clockOf(worker) };
     const bool hasShrunk = rejectsOverload() && !worker.formerCapacities.empty();
     if (hasShrunk && !usageWith(worker, m_jobs.at(order.run.task.job).steps[order.run.task.step]).fitsIn(worker.description.capacity)) {
         ++m_refusedStartCount;
-        return { external::order_outcome::InsufficientCapacity, workerClock() };
+        return { external::order_outcome::InsufficientCapacity, clockOf(worker) };
     }
     checkStart(worker, order);
     if (const auto deadly = m_deadlyTasks.find(order.run.task); deadly != m_deadlyTasks.end()) {
@@ -172,7 +172,7 @@
     const auto& step = m_jobs.at(order.run.task.job).steps[order.run.task.step];
     worker.running[order.run.task] = { order.run, m_now + m_batchTime, m_now, step.isLongRunning };
     ++m_startCounts[order.run.task];
-    return { external::order_outcome::Accepted, workerClock() };
+    return { external::order_outcome::Accepted, clockOf(worker) };
 }
 
 void simulated_fleet::start(const start_command& command, std::uint64_t term)
@@ -200,7 +200,7 @@
     }
     if (worker.faults.startDelay.count() > 0 && m_random() % 2 == 0) {
         schedule(worker.faults.startDelay, [this, &worker, command, incarnation = worker.description.incarnation] {
-            if (!worker.faults.isDown && worker.description.incarnation == incarnation)
+            if (!worker.faults.isDown && (worker.description.incarnation == incarnation || worker.faults.restartedProcessExecutesLateStarts))
                 apply(worker, command.order);
         });
         schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
@@ -230,8 +230,13 @@
         handleReply(
             term, leader_input::Observation, sentAt + orderTimeout + command.order.wait, [handle, reply](bool isLate) { handle(reply, isLate); }, [handle] { handle({ external::order_outcome::NoAnswer, {} }, false); });
     };
-    const auto handleOrder = [this, command, answer] {
+    const auto handleOrder = [this, command, answer, incarnation = m_workers.at(command.worker.id)->description.incarnation] {
         auto& worker = *m_workers.at(command.worker.id);
+        // The connection was to a process that has ended.
+        if (worker.description.incarnation != incarnation) {
+            answer({ external::order_outcome::NoAnswer, {} });
+            return;
+        }
         if (worker.faults.isUnresponsive) {
             schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, {} }); });
             return;
@@ -246,13 +251,13 @@
         }
         worker.fence = command.order.fence;
         if (command.order.leaseEnd != 0)
-            worker.leaseEnd = std::max(worker.leaseEnd, std::min(utils::time_point() + utils::milliseconds(command.order.leaseEnd), m_now + longestLease));
+            worker.leaseEnd = std::max(worker.leaseEnd, std::min(worker.clockOrigin + utils::milliseconds(command.order.leaseEnd), m_now + longestLease));
         for (const auto& end : worker.ended) {
             if (end.number <= command.order.acknowledgedEnd && end.number > worker.lastEndBeforeLapse && end.cause == external::end_cause::Done)
                 m_acknowledgedTasks.insert(end.run.task);
         }
         std::erase_if(worker.ended, [&](const auto& end) { return end.number <= command.order.acknowledgedEnd; });
-        external::observe_reply reply { external::order_outcome::Accepted, { workerClock(), worker.description.incarnation, {}, worker.ended } };
+        external::observe_reply reply { external::order_outcome::Accepted, { clockOf(worker), worker.description.incarnation, {}, worker.ended } };
         for (const auto& [task, run] : worker.running) {
             const auto left = std::chrono::duration_cast<utils::milliseconds>(run.endsAt - m_now).count();
             const int servingPercent = m_now < run.startedAt + m_startupTime ? 0 : 100;
@@ -261,6 +266,11 @@
             const std::int64_t load = run.isLongRunning ? (worker.tailLatency ? worker.tailLatency(worker, run.run) : 30) : 2000 * run.pace / 100;
             reply.workerState.running.push_back({ run.run, "", percent, load });
         }
+        if (worker.faults.losesObserveReplies) {
+            schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, {} }); });
+            return;
+        }
+        worker.lastListedEnd = worker.nextEnd - 1;
         answer(reply);
     };
     // A worker would answer at the next end of a run or after the wait. Here it answers after at most 100 ms instead.
