--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -391,6 +391,9 @@
     run.stopConfirmedAt.reset();
     run.isStopOrderPending = false;
     run.stopSentAt = {};
+    run.startClock = 0;
+    run.progressClock = 0;
+    run.paceClock = 0;
     run.worker->needsProbe = true;
     // The lease end of the start was a time of the former clock, so that only the worker's limit bounds it.
     run.worker->leaseExpiresAt = std::max(run.worker->leaseExpiresAt, now + m_settings.maximumLeaseDuration(m_settings.longestLeaseOnWorker));
