Coordinator: Cancel a job when its inbox entry is seen

Cause, by reading: the engine heard of a cancellation that another daemon had stored only after the write that erases its inbox entry and a listing of the job, each of which waits for the store and for the leader's loop; until then the job's tasks were started. The entry is written in one transaction with the cancellation, so it is proof enough.

Now the engine cancels the job when the entry is seen, and a job that the leader adds later, from a listing that was made before, is cancelled at once. The store work follows as before.

InboxTracker.CancellationIsKnownUntilTheAdoptionOfItsEntryHasEnded was written with the change. There is no test of leader_term itself, so that the order of its calls is shown by no run.

--- a/src/tasks/coordinator/inbox_tracker.h
+++ b/src/tasks/coordinator/inbox_tracker.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "external/key_value_store.h"
@@ -33,9 +34,27 @@
         return latest > version ? std::optional(latest) : std::nullopt;
     }
 
+    //! \brief Records that the entry says that its job is cancelled. The leader may not know the job yet.
+    void noteCancellation(const std::string& id)
+    {
+        m_cancelledJobs.insert(id);
+    }
+
+    bool isCancelled(const std::string& id) const
+    {
+        return m_cancelledJobs.contains(id);
+    }
+
+    void forgetCancellation(const std::string& id)
+    {
+        if (!m_latestVersions.contains(id))
+            m_cancelledJobs.erase(id);
+    }
+
 private:
     //! Latest seen version of each entry that is being processed.
     std::map<std::string, external::revision> m_latestVersions;
+    std::set<std::string> m_cancelledJobs;
 };
 
 } // namespace camphorsaddle::tasks
--- a/src/tasks/coordinator/leader_election.h
+++ b/src/tasks/coordinator/leader_election.h
@@ -37,6 +37,8 @@
     inline const std::string jobsPrefix = "camphorsaddle/job/";
     //! One entry for each job or cancellation that was stored without the leader and that it has to adopt.
     inline const std::string inboxPrefix = "camphorsaddle/inbox/";
+    //! Value of the inbox entry of a cancellation.
+    inline const std::string cancelledMark = "cancelled";
 
     std::string job(const std::string& id);
     std::string progress(const std::string& id);
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -133,8 +133,23 @@
 
 void leader_term::onInboxEntry(const std::string& key, const external::key_value* value)
 {
-    if (value != nullptr)
-        adoptJob(std::string(absl::StripPrefix(key, store_keys::inboxPrefix)), value->version);
+    if (value == nullptr)
+        return;
+    const std::string id(absl::StripPrefix(key, store_keys::inboxPrefix));
+    // The store has the cancellation since the entry was written; the rest of the adoption takes a write and a listing.
+    if (value->value == store_keys::cancelledMark) {
+        m_inboxTracker.noteCancellation(id);
+        m_engine.cancel(id, utils::nowIncludingSuspend());
+        scheduleDecisions();
+    }
+    adoptJob(id, value->version);
+}
+
+void leader_term::addJob(const jobs::job_spec& job, utils::time_point now)
+{
+    m_engine.add(job, now);
+    if (m_inboxTracker.isCancelled(job.id))
+        m_engine.cancel(job.id, now);
 }
 
 // Erases the inbox entry on the condition of the leader key before it adopts the job, so that a former leader can't
@@ -168,10 +183,11 @@
                                   if (entry.key != store_keys::job(id))
                                       continue;
                                   if (const auto job = jobs::parseJob(entry.value); job.ok())
-                                      m_engine.add(*job, now);
+                                      addJob(*job, now);
                               }
                               if (std::ranges::any_of(listing->entries, [&](const auto& entry) { return entry.key == store_keys::cancellation(id); }))
                                   m_engine.cancel(id, now);
+                              m_inboxTracker.forgetCancellation(id);
                               utils::logEvent(utils::events::jobAdopted, { { "job", id } });
                               scheduleDecisions();
                           });
@@ -242,7 +258,7 @@
     result.outcome = call_outcome::Done;
     switch (outcome) {
     case write_outcome::Committed:
-        m_engine.add(job, now);
+        addJob(job, now);
         break;
     case write_outcome::Conflict: {
         // The job was stored without the leader, which adopts it through its inbox entry.
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -54,6 +54,8 @@
     void startServing(const jobs::worker_roster& roster);
     void onWorkerEntry(const std::string& key, const external::key_value* value);
     void onInboxEntry(const std::string& key, const external::key_value* value);
+    //! \brief Adds a job that the store has, and cancels it if the inbox has said so already.
+    void addJob(const jobs::job_spec& job, utils::time_point now);
     void adoptJob(const std::string& id, external::revision entryVersion);
     void submitJob(const job_call& call, const reply_callback& reply);
     void completeSubmission(const jobs::job_spec& job, write_outcome outcome, const external::key_value* present);
--- a/src/tasks/coordinator/leaderless_call_handler.cpp
+++ b/src/tasks/coordinator/leaderless_call_handler.cpp
@@ -155,7 +155,7 @@
     const auto& id = attempt->call.subject;
     external::transaction change;
     change.expected = { { store_keys::job(id), attempt->recordVersion } };
-    change.puts = { { store_keys::cancellation(id), "cancelled", 0 }, { store_keys::inboxPrefix + id, "cancelled", 0 } };
+    change.puts = { { store_keys::cancellation(id), "cancelled", 0 }, { store_keys::inboxPrefix + id, store_keys::cancelledMark, 0 } };
     m_store.transact(change, [this, attempt, alive = std::weak_ptr(m_alive)](const absl::StatusOr<external::transaction_result>& result) {
         if (alive.expired())
             return;
--- a/tests/auto/tasks/tst_coordinator_parts.cpp
+++ b/tests/auto/tasks/tst_coordinator_parts.cpp
@@ -152,6 +152,22 @@
     EXPECT_EQ(tracker.finishProcessing("job", 9, 0), std::nullopt);
 }
 
+// The cancellation of a job that another daemon accepted and cancelled arrives before the job. The adoption that began
+// with the submission doesn't find it.
+TEST(InboxTracker, CancellationIsKnownUntilTheAdoptionOfItsEntryHasEnded)
+{
+    inbox_tracker tracker;
+    EXPECT_TRUE(tracker.beginProcessing("job", 5));
+    EXPECT_EQ(tracker.finishProcessing("job", 5, 0), std::nullopt);
+    tracker.noteCancellation("job");
+    EXPECT_TRUE(tracker.beginProcessing("job", 7));
+    tracker.forgetCancellation("job");
+    EXPECT_TRUE(tracker.isCancelled("job"));
+    EXPECT_EQ(tracker.finishProcessing("job", 7, 0), std::nullopt);
+    tracker.forgetCancellation("job");
+    EXPECT_FALSE(tracker.isCancelled("job"));
+}
+
 struct leader_write_case {
     const char* name;
     reply_mode replyMode;
