Jobs: Measure runs that a report finds from that report on

With a leader that lags and is replaced, runs were stopped as "stalled at 33% after 820 ms; expected duration in ms: 181" that did their work of 2.5 s.

Cause: a start without an answer is confirmed by the first report that lists the run. The run may have worked for long by then, but it counted as started by the report and at 0%, so that its short rest became the expected duration of its siblings. Before, the time of handling the report had the same effect.

Now the progress in that report is the one that the run started from, and its rest is no full duration.

--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -152,8 +152,6 @@
         run = &openRun(*job, report.run.task.step, report.run.task.index, worker, report.run.number, now);
         run->phase = run_phase::Running;
         run->runningSince = now;
-        run->startClock = worker.reportClock;
-        run->initialPercent = report.percent;
         run->isPaceKnown = false;
         run->isAdopted = true;
         reportEvent(engine_event_kind::RunAdopted, *run, isWanted ? "started by a former leader" : "started by a former leader, not needed");
@@ -166,13 +164,15 @@
         run->phase = run_phase::Running;
         run->phaseSince = now;
         run->runningSince = now;
-        run->startClock = worker.reportClock;
         reportEvent(engine_event_kind::RunAdopted, *run, "the start order took effect without an answer");
         if (run->job->phase == job_phase::Queued)
             run->job->phase = job_phase::Running;
     }
-    if (run->phase == run_phase::Running && run->startClock == 0)
+    if (run->phase == run_phase::Running && run->startClock == 0) {
+        // The run may have worked for long; its speed is known from here on.
         run->startClock = worker.reportClock;
+        run->initialPercent = report.percent;
+    }
     run->isListed = true;
     if (run->initialPercent < 0)
         run->initialPercent = report.run.number > 1 && !run->checkpoint.empty() ? report.percent : 0;
