Jobs: Send stops and lease renewals before starts

A late stop or renewal breaks a promise (UNASKED, runs that lapse), a late start costs only time.

Now the orders of a decision are sent as stops, observations with their renewals, paces, starts. What is decided, and from which state, is unchanged.

Fewer starts in a decision of a leader that is behind are not part of this.

--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -30,6 +30,17 @@
     constexpr double strictHeadroom = 1.1;
     constexpr double relaxedHeadroom = 0.7;
 
+    //! Position among the orders of a decision. When sending takes long, a late stop or lease renewal breaks a promise, and a
+    //! late start costs only time.
+    int positionOf(const engine_command& command)
+    {
+        if (std::holds_alternative<stop_command>(command))
+            return 0;
+        if (std::holds_alternative<observe_command>(command))
+            return 1;
+        return std::holds_alternative<pace_command>(command) ? 2 : 3;
+    }
+
 } // namespace
 
 struct job_engine::waiting_step {
@@ -71,6 +82,7 @@
         m_mayStartTasks = false;
     }
     appendOrders(now, commands);
+    std::ranges::stable_sort(commands, {}, positionOf);
     return commands;
 }
 
--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -313,8 +313,14 @@
 
 void simulated_fleet::decide()
 {
+    // Stops and lease renewals don't wait for starts.
+    bool hasStart = false;
     for (const auto& command : m_engine->decideCommands(m_now)) {
         ++m_commandCount;
+        const bool isStart = std::holds_alternative<start_command>(command);
+        if (hasStart && !isStart)
+            m_violations.emplace_back("a start is sent before other orders of the same decision");
+        hasStart = hasStart || isStart;
         execute(command, m_term);
     }
 }
