--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -19,11 +19,7 @@
     constexpr utils::milliseconds watchTimeout { 5000 };
     // Batches worker changes: each worker renews its entry every two seconds, and changes must be in force within 2.5 s.
     constexpr utils::milliseconds workerBatchingDelay { 100 };
-    // Starts stop when the directory or the inbox has not been confirmed for about two seconds, see engine_settings. The
-    // long polls confirm them only when something changes.
     constexpr utils::milliseconds refreshTickInterval { 200 };
-    constexpr utils::milliseconds workerRefreshAge { 1000 };
-    constexpr utils::milliseconds inboxRefreshAge { 1500 };
     // A new leader would have to learn these values again; writing them in a batch with other writes costs little.
     constexpr utils::milliseconds learnedWriteInterval { 2000 };
     // Without the stored roster the next leader only waits longer.
@@ -145,13 +141,6 @@
     adoptJob(id, value->version);
 }
 
-void leader_term::addJob(const jobs::job_spec& job, utils::time_point now)
-{
-    m_engine.add(job, now);
-    if (m_inboxTracker.isCancelled(job.id))
-        m_engine.cancel(job.id, now);
-}
-
 // Erases the inbox entry on the condition of the leader key before it adopts the job, so that a former leader can't
 // adopt the job any more.
 void leader_term::adoptJob(const std::string& id, external::revision entryVersion)
@@ -316,15 +305,6 @@
         true);
 }
 
-void leader_term::refreshWatches()
-{
-    const auto now = utils::nowIncludingSuspend();
-    if (now > m_workerWatch.confirmedAt() + workerRefreshAge)
-        m_workerWatch.refresh();
-    if (now > m_inboxWatch.confirmedAt() + inboxRefreshAge)
-        m_inboxWatch.refresh();
-}
-
 void leader_term::scheduleDecisions()
 {
     if (m_isLoaded && !m_hasEnded && !m_decisionTimer.isActive())
--- a/src/tasks/coordinator/leader_term_load.cpp
+++ b/src/tasks/coordinator/leader_term_load.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+    // Starts stop when the directory or the inbox has not been confirmed for about two seconds, see engine_settings. The
+    // long polls confirm them only when something changes.
+    constexpr utils::milliseconds workerRefreshAge { 1000 };
+    constexpr utils::milliseconds inboxRefreshAge { 1500 };
     constexpr utils::milliseconds reloadDelay { 200 };
 
 } // namespace
@@ -113,4 +117,20 @@
     });
 }
 
+void leader_term::addJob(const jobs::job_spec& job, utils::time_point now)
+{
+    m_engine.add(job, now);
+    if (m_inboxTracker.isCancelled(job.id))
+        m_engine.cancel(job.id, now);
+}
+
+void leader_term::refreshWatches()
+{
+    const auto now = utils::nowIncludingSuspend();
+    if (now > m_workerWatch.confirmedAt() + workerRefreshAge)
+        m_workerWatch.refresh();
+    if (now > m_inboxWatch.confirmedAt() + inboxRefreshAge)
+        m_inboxWatch.refresh();
+}
+
 } // namespace camphorsaddle::tasks
