Tests, jobs: Play restarts with late entries beside lost replies and leaders

A seeded random series for 48 seeds: workers restart and their entries arrive up to 1.5 s late, replies are lost, starts are executed 1.5 s late, leaders are lost. All invariants of the simulated fleet hold.

Not part of the series: starts that a restarted process executes after their run was stopped in the former one. These overlap until the stop arrives.

--- a/tests/auto/jobs/tst_restarted_workers.cpp
+++ b/tests/auto/jobs/tst_restarted_workers.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include <algorithm>
+#include <random>
 
 #include "jobs/simulated_fleet.h"
 
@@ -150,3 +150,59 @@
     engine.handleObserveReply(worker.id, observation, { external::order_outcome::OtherIncarnation, {} }, now, now);
     EXPECT_EQ(engine.workers().at(worker.id)->runs.size(), 0u);
 }
+
+class restarted_workers_under_mixed_faults : public testing::TestWithParam<std::uint64_t> {
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, restarted_workers_under_mixed_faults, testing::Range<std::uint64_t>(1, 49));
+
+// Restarts with late entries, lost replies, starts that a process executes late, and lost leaders.
+TEST_P(restarted_workers_under_mixed_faults, KeepsInvariants)
+{
+    constexpr unsigned workerCount = 5;
+    simulated_fleet fleet(GetParam());
+    std::mt19937_64 random(GetParam());
+    const auto randomWorker = [&] {
+        return "w" + std::to_string(random() % workerCount);
+    };
+    for (unsigned number = 0; number < workerCount; ++number)
+        fleet.addWorker("w" + std::to_string(number));
+    fleet.run(utils::milliseconds(200));
+    unsigned jobs = 0;
+    for (unsigned round = 0; round < 40; ++round) {
+        for (unsigned count = 0; count < random() % 3; ++count)
+            fleet.submit(makeJob("job" + std::to_string(jobs++), { batchStep(1 + static_cast<unsigned>(random() % 6)) }));
+        auto& faults = fleet.worker(randomWorker()).faults;
+        switch (random() % 8) {
+        case 0:
+            faults.losesStartReplies = !faults.losesStartReplies;
+            break;
+        case 1:
+            faults.losesReplies = !faults.losesReplies;
+            break;
+        case 2:
+            faults.startDelay = utils::milliseconds(random() % 2 == 0 ? 1500 : 0);
+            break;
+        case 3:
+        case 4:
+            fleet.restartWorker(randomWorker(), utils::milliseconds(random() % 1500));
+            break;
+        case 5:
+            if (random() % 3 == 0)
+                fleet.changeLeader();
+            break;
+        default:
+            break;
+        }
+        fleet.run(utils::milliseconds(100 + random() % 500));
+    }
+    for (unsigned number = 0; number < workerCount; ++number)
+        fleet.worker("w" + std::to_string(number)).faults = {};
+    fleet.run(utils::milliseconds(20'000));
+    EXPECT_EQ(fleet.violations(), std::vector<std::string>());
+    for (unsigned number = 0; number < jobs; ++number) {
+        const auto phase = fleet.phase("job" + std::to_string(number));
+        ASSERT_TRUE(phase);
+        EXPECT_TRUE(isFinal(*phase)) << "job" << number << " is " << toString(*phase);
+    }
+}
