--- a/tests/auto/jobs/tst_restarted_workers.cpp
+++ b/tests/auto/jobs/tst_restarted_workers.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include <algorithm>
+#include <random>
 
 #include "jobs/simulated_fleet.h"
 
@@ -104,3 +104,105 @@
     for (unsigned index = 0; index < 4; ++index)
         EXPECT_EQ(fleet.startCount({ "job", 0, 0, index }), 1u);
 }
+
+// A run that had been closed was listed by a restarted worker, skipped without a stop, and ran on beside the next one.
+TEST(RestartedWorker, ListedRunIsSkippedBecauseItsNumberIsClosed)
+{
+    constexpr unsigned count = 4;
+    simulated_fleet fleet;
+    fleet.addWorker("w1").faults.startDelay = utils::milliseconds(2500);
+    fleet.run(utils::milliseconds(200));
+    fleet.submit(makeJob("job", { serviceStep(count, "image") }));
+    fleet.run(utils::milliseconds(100));
+    fleet.addWorker("w2");
+    fleet.run(utils::milliseconds(1400));
+    fleet.restartWorker("w1");
+    fleet.worker("w1").faults.restartedProcessExecutesLateStarts = true;
+    fleet.run(utils::milliseconds(3000));
+    EXPECT_GT(fleet.violations().size(), 0u) << "no start took effect late";
+    EXPECT_EQ(fleet.workersRunning("job").size(), count);
+}
+
+// A worker that restarted at another address lost the runs of its new process when its former address answered late.
+TEST(RestartedWorker, RunsAreLostWhenAnotherWorkerAnswersAtTheFormerAddress)
+{
+    const auto now = utils::time_point() + std::chrono::hours(1);
+    worker_description worker { "w0", "former address", "service", "dc", "rack", { "a" }, { 32'000, 128'000, 0 }, false, utils::milliseconds(0), 1 };
+    job_engine engine({}, 1, [](const engine_event&) {});
+    engine.setRules(std::make_shared<const deployment_rules>(defaultRules()));
+    engine.beginTerm({}, now);
+    engine.announceWorker(worker, now);
+    const observe_command formerObservation { { worker.id, worker.endpoint }, {}, true, { worker.endpoint, worker.incarnation, 1 } };
+    engine.handleObserveReply(worker.id, formerObservation, { external::order_outcome::Accepted, { 1, worker.incarnation, {}, {} } }, now, now);
+    worker.endpoint = "present address";
+    ++worker.incarnation;
+    engine.announceWorker(worker, now);
+    const observe_command observation { { worker.id, worker.endpoint }, {}, true, { worker.endpoint, worker.incarnation, 1 } };
+    engine.handleObserveReply(worker.id, observation, { external::order_outcome::Accepted, { 1, worker.incarnation, {}, {} } }, now, now);
+    engine.markRosterStored({ worker.id });
+    engine.add(makeJob("job", { batchStep(1) }), now);
+    const auto commands = engine.decideCommands(now);
+    ASSERT_EQ(engine.workers().at(worker.id)->runs.size(), 1u);
+    engine.handleObserveReply(worker.id, formerObservation, { external::order_outcome::OtherIncarnation, {} }, now, now);
+    EXPECT_EQ(engine.workers().at(worker.id)->runs.size(), 1u);
+    engine.handleObserveReply(worker.id, formerObservation, { external::order_outcome::NoAnswer, {} }, now, now);
+    EXPECT_EQ(engine.workers().at(worker.id)->unansweredObserves, 0u);
+    engine.handleObserveReply(worker.id, observation, { external::order_outcome::OtherIncarnation, {} }, now, now);
+    EXPECT_EQ(engine.workers().at(worker.id)->runs.size(), 0u);
+}
+
+class restarted_workers_under_mixed_faults : public testing::TestWithParam<std::uint64_t> {
+};
+
+INSTANTIATE_TEST_SUITE_P(Seeds, restarted_workers_under_mixed_faults, testing::Range<std::uint64_t>(1, 49));
+
+// Restarts with late entries, lost replies, starts that a process executes late, and lost leaders.
+TEST_P(restarted_workers_under_mixed_faults, KeepsInvariants)
+{
+    constexpr unsigned workerCount = 5;
+    simulated_fleet fleet(GetParam());
+    std::mt19937_64 random(GetParam());
+    const auto randomWorker = [&] {
+        return "w" + std::to_string(random() % workerCount);
+    };
+    for (unsigned number = 0; number < workerCount; ++number)
+        fleet.addWorker("w" + std::to_string(number));
+    fleet.run(utils::milliseconds(200));
+    unsigned jobs = 0;
+    for (unsigned round = 0; round < 40; ++round) {
+        for (unsigned count = 0; count < random() % 3; ++count)
+            fleet.submit(makeJob("job" + std::to_string(jobs++), { batchStep(1 + static_cast<unsigned>(random() % 6)) }));
+        auto& faults = fleet.worker(randomWorker()).faults;
+        switch (random() % 8) {
+        case 0:
+            faults.losesStartReplies = !faults.losesStartReplies;
+            break;
+        case 1:
+            faults.losesReplies = !faults.losesReplies;
+            break;
+        case 2:
+            faults.startDelay = utils::milliseconds(random() % 2 == 0 ? 1500 : 0);
+            break;
+        case 3:
+        case 4:
+            fleet.restartWorker(randomWorker(), utils::milliseconds(random() % 1500));
+            break;
+        case 5:
+            if (random() % 3 == 0)
+                fleet.changeLeader();
+            break;
+        default:
+            break;
+        }
+        fleet.run(utils::milliseconds(100 + random() % 500));
+    }
+    for (unsigned number = 0; number < workerCount; ++number)
+        fleet.worker("w" + std::to_string(number)).faults = {};
+    fleet.run(utils::milliseconds(20'000));
+    EXPECT_EQ(fleet.violations(), std::vector<std::string>());
+    for (unsigned number = 0; number < jobs; ++number) {
+        const auto phase = fleet.phase("job" + std::to_string(number));
+        ASSERT_TRUE(phase);
+        EXPECT_TRUE(isFinal(*phase)) << "job" << number << " is " << toString(*phase);
+    }
+}
