--- a/tests/auto/jobs/tst_lease_bounds.cpp
+++ b/tests/auto/jobs/tst_lease_bounds.cpp
@@ -33,6 +33,8 @@
         const auto end = m_now + duration;
         while (m_now < end) {
             m_now += decisionInterval;
+            m_engine.confirmDirectory(m_now);
+            m_engine.confirmCancellations(m_now);
             for (const auto& command : m_engine.decideCommands(m_now)) {
                 if (const auto* observe = std::get_if<observe_command>(&command))
                     m_engine.handleObserveReply("w1", *observe, { external::order_outcome::Accepted, { clock(), 1, {}, {} } }, m_now, m_now);
--- a/tests/auto/jobs/tst_odd_records.cpp
+++ b/tests/auto/jobs/tst_odd_records.cpp
@@ -153,11 +153,11 @@
 
 TEST(OddRoster, IsRejected)
 {
-    const worker_roster good { { "i-1" }, 3, { { "i-1", utils::milliseconds(86'400'000) } } };
+    const worker_roster good { { { "i-1", "10.0.0.1:80", "dc" } }, 3, { { "i-1", utils::milliseconds(86'400'000) } } };
     EXPECT_EQ(*parseRoster(encodeRoster(good)), good);
     for (const auto left : { largest, lowest, std::int64_t(-1), std::int64_t(86'400'001) })
-        EXPECT_FALSE(parseRoster(encodeRoster({ { "i-1" }, 3, { { "i-1", utils::milliseconds(left) } } })).ok()) << left;
-    EXPECT_FALSE(parseRoster(encodeRoster({ { "i-1" }, largestUnsigned, {} })).ok());
+        EXPECT_FALSE(parseRoster(encodeRoster({ { { "i-1", {}, {} } }, 3, { { "i-1", utils::milliseconds(left) } } })).ok()) << left;
+    EXPECT_FALSE(parseRoster(encodeRoster({ { { "i-1", {}, {} } }, largestUnsigned, {} })).ok());
 }
 
 // The next leader would have term 0.
