Jobs: Grant leases by the least time that has passed on a worker's clock

Callers may see two runs of one task: the lease of a start on a worker that had not been queried for a while outlasted the 5,103 ms that the next leader waits for (5,122 ms after 1 s without contact, 7,551 ms after 120 s, with a clock 2% slow).

Cause: grantLease added the time since the last contact as if the worker's clock had kept up. It adds the least time that can have passed now, so that a lease ends within its duration for each leader. A lease on a fast clock is shorter by 2% of the time without contact; a start that comes too late for it is refused, which updates the clock.

Also adapts tst_restarted_workers to the roster with addresses and to the age of the directory.

--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -28,9 +28,10 @@
 external::worker_time job_engine::grantLease(worker_state& worker, utils::time_point now)
 {
     const auto sinceSeen = std::chrono::duration_cast<utils::milliseconds>(now - worker.clockUpdatedAt);
-    const auto beyondClock = sinceSeen + m_settings.leaseDuration;
-    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, worker.clockUpdatedAt + m_settings.maximumLeaseDuration(beyondClock));
-    return worker.clock + beyondClock.count();
+    // The least time that has passed on the worker's clock; a lease that started later would outlast the next leader's wait.
+    const auto elapsed = static_cast<external::worker_time>(static_cast<double>(sinceSeen.count()) * m_settings.minimumWorkerClockRate);
+    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, now + m_settings.maximumLeaseDuration(m_settings.leaseDuration));
+    return worker.clock + elapsed + m_settings.leaseDuration.count();
 }
 
 void job_engine::beginIncarnation(worker_state& worker, std::int64_t incarnation, utils::time_point now)
--- a/tests/auto/jobs/tst_restarted_workers.cpp
+++ b/tests/auto/jobs/tst_restarted_workers.cpp
@@ -139,7 +139,9 @@
     engine.announceWorker(worker, now);
     const observe_command observation { { worker.id, worker.endpoint }, {}, true, { worker.endpoint, worker.incarnation, 1 } };
     engine.handleObserveReply(worker.id, observation, { external::order_outcome::Accepted, { 1, worker.incarnation, {}, {} } }, now, now);
-    engine.markRosterStored({ worker.id });
+    engine.markRosterStored({ { worker.id, worker.endpoint, worker.dataCentre } });
+    engine.confirmDirectory(now);
+    engine.confirmCancellations(now);
     engine.add(makeJob("job", { batchStep(1) }), now);
     const auto commands = engine.decideCommands(now);
     ASSERT_EQ(engine.workers().at(worker.id)->runs.size(), 1u);
