Jobs: Take no worker for gone before the directory was read

Callers saw two runs of one task. A worker that the new leader had not found in the directory was waited for only 5.4 s, also if the leader had not read the directory by then: an overloaded leader reads it late, or the store is slow. All workers of the roster then counted as gone, while a former leader may renew their leases for up to 7 s.

The short wait now needs a directory that was read in this term; without one the full wait holds. prefix_watch::completeUntil tells nothing before the first listing.

Test: Roster.WorkersAreNotGoneBeforeTheDirectoryIsRead; before, the task was started at 6 s beside a worker that had not answered.

--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -204,7 +204,9 @@
 // The restoration is complete when no worker can execute a run that this leader doesn't know.
 void job_engine::endRestorationIfComplete(utils::time_point now)
 {
-    const bool isWaiting = std::ranges::any_of(m_unconfirmedWorkers, [&](const auto& entry) { return now < entry.second && (isListed(entry.first) || now < m_termStartedAt + unlistedWorkerWait()); });
+    const bool isDirectoryRead = m_directoryConfirmedAt >= m_termStartedAt;
+    const bool mayLackListedWorkers = !isDirectoryRead || now < m_termStartedAt + unlistedWorkerWait();
+    const bool isWaiting = std::ranges::any_of(m_unconfirmedWorkers, [&](const auto& entry) { return now < entry.second && (mayLackListedWorkers || isListed(entry.first)); });
     if (isWaiting || (!m_isRestoring && m_unconfirmedWorkers.empty()))
         return;
     m_isRestoring = false;
--- a/src/tasks/coordinator/prefix_watch.cpp
+++ b/src/tasks/coordinator/prefix_watch.cpp
@@ -92,7 +92,8 @@
 
 utils::time_point prefix_watch::completeUntil(utils::time_point now) const
 {
-    return m_isSynced ? m_confirmedAt : now;
+    const bool isListed = m_confirmedAt != utils::time_point();
+    return m_isSynced || !isListed ? m_confirmedAt : now;
 }
 
 external::revision prefix_watch::revision() const
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -70,7 +70,10 @@
     engine.add(makeJob("job", { batchStep(1) }), now);
     const auto startedTasks = [&] {
         unsigned count = 0;
-        for (const auto& command : engine.decideCommands(now += utils::milliseconds(50))) {
+        now += utils::milliseconds(50);
+        engine.confirmDirectory(now);
+        engine.confirmCancellations(now);
+        for (const auto& command : engine.decideCommands(now)) {
             if (const auto* observe = std::get_if<observe_command>(&command))
                 engine.handleObserveReply("w1", *observe, { external::order_outcome::Accepted, { 1, 2, {}, {} } }, now, now);
             count += std::holds_alternative<start_command>(command) ? 1 : 0;
@@ -85,6 +88,45 @@
     EXPECT_EQ(startedTasks(), 1u);
 }
 
+// Guards against a leader that takes workers for gone whose entries it has not read yet.
+TEST(Roster, WorkersAreNotGoneBeforeTheDirectoryIsRead)
+{
+    constexpr utils::milliseconds directoryDelay { 6000 };
+    job_engine engine(engine_settings {}, 2, [](const engine_event&) {});
+    engine.setRules(std::make_shared<deployment_rules>(defaultRules()));
+    const auto begin = utils::time_point() + std::chrono::hours(1);
+    engine.restore(makeJob("job", { batchStep(1) }), {}, false, begin);
+    engine.beginTerm({ { { "w1", "address:1", "dc" } }, 0, {} }, begin);
+    worker_description worker { "w2", "address:2", "service", "dc", "rack", {}, { 32'000, 128'000, 0 }, false, utils::milliseconds(0), 1 };
+    const auto startedTasks = [&](utils::time_point now) {
+        unsigned count = 0;
+        for (const auto& command : engine.decideCommands(now)) {
+            const auto* observe = std::get_if<observe_command>(&command);
+            if (observe != nullptr && observe->worker.id == "w2")
+                engine.handleObserveReply("w2", *observe, { external::order_outcome::Accepted, { std::chrono::duration_cast<utils::milliseconds>(now - begin).count() + 1, 1, {}, {} } }, now, now);
+            count += std::holds_alternative<start_command>(command) ? 1 : 0;
+        }
+        return count;
+    };
+    auto now = begin;
+    for (; now < begin + directoryDelay; now += utils::milliseconds(50))
+        EXPECT_EQ(startedTasks(now), 0u);
+    engine.announceWorker(worker, now);
+    worker.id = "w1";
+    worker.endpoint = "address:1";
+    engine.announceWorker(worker, now);
+    engine.markRosterStored(engine.roster());
+    const auto grace = engine_settings().formerLeaderGracePeriod + engine_settings().maximumLeaseDuration(engine_settings().leaseDuration);
+    for (; now < begin + grace; now += utils::milliseconds(50)) {
+        engine.confirmDirectory(now);
+        engine.confirmCancellations(now);
+        EXPECT_EQ(startedTasks(now), 0u);
+    }
+    engine.confirmDirectory(now += utils::milliseconds(100));
+    engine.confirmCancellations(now);
+    EXPECT_EQ(startedTasks(now), 1u);
+}
+
 TEST(Roster, IsReadAsItWasWritten)
 {
     const worker_roster roster { { { "w1", "address:1", "dc1" }, { "w2", "address:2", "dc2" } }, 3, { { "w2", utils::milliseconds(100) } } };
--- a/tests/auto/tasks/tst_coordinator_parts.cpp
+++ b/tests/auto/tasks/tst_coordinator_parts.cpp
@@ -131,6 +131,7 @@
     watch.start();
     runLoop(loop, shortRunTime);
     const auto later = utils::nowIncludingSuspend() + std::chrono::hours(1);
+    EXPECT_EQ(prefix_watch(loop, store, "workers", utils::milliseconds(5000), {}, {}).completeUntil(later), utils::time_point());
     EXPECT_EQ(watch.completeUntil(later), watch.confirmedAt());
     store.replyMode = reply_mode::Refuses;
     watch.refresh();
