Relayed orders: Number the orders of each process apart

A leader process that ends and leads again at the same endpoint counted its tickets from 1 again. A relay's late reply to the former process could answer another order: a start that was accepted would count as a confirmed stop, after which the task may start elsewhere. Tickets count from the process's incarnation now.

--- a/bench/capacity/relay_costs.cpp
+++ b/bench/capacity/relay_costs.cpp
@@ -39,7 +39,7 @@
     utils::metric_registry registry;
     tasks::relayed_order_counters counters(registry);
     tasks::relayed_run_control control(
-        loop, direct, "tcp://leader", [](const auto&, const auto&) {}, counters);
+        loop, direct, "tcp://leader", [](const auto&, const auto&) {}, counters, 1);
     const auto now = utils::nowIncludingSuspend();
     for (int number = 0; number < relays; ++number)
         control.updateRelay({ absl::StrCat("tcp://10.0.0.", number, ":9000"), absl::StrCat("dc", number % dataCentres), 2 }, now);
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -37,9 +37,9 @@
     const auto send = [this](const auto& endpoint, const auto& envelope) {
         this->send(endpoint, envelope);
     };
-    m_relayedControl = std::make_unique<relayed_run_control>(loop(), *m_runControl, m_settings.peerEndpoint, send, m_orderCounters);
-    m_orderRelay = std::make_unique<order_relay>(loop(), *m_runControl, m_settings.peerEndpoint, send);
     const auto incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<utils::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    m_relayedControl = std::make_unique<relayed_run_control>(loop(), *m_runControl, m_settings.peerEndpoint, send, m_orderCounters, incarnation);
+    m_orderRelay = std::make_unique<order_relay>(loop(), *m_runControl, m_settings.peerEndpoint, send);
     try {
         m_peerReceiver = std::make_unique<transport::message_receiver>(loop(), m_settings.peerEndpoint, [this](zmq::message_t raw) { onPeerMessage(std::move(raw)); });
     } catch (const zmq::error_t& failure) {
--- a/src/tasks/coordinator/relayed_run_control.cpp
+++ b/src/tasks/coordinator/relayed_run_control.cpp
@@ -34,12 +34,13 @@
 
 } // namespace
 
-relayed_run_control::relayed_run_control(transport::event_loop& loop, external::run_control& directControl, std::string replyEndpoint, send_function send, relayed_order_counters& counters)
+relayed_run_control::relayed_run_control(transport::event_loop& loop, external::run_control& directControl, std::string replyEndpoint, send_function send, relayed_order_counters& counters, std::uint64_t firstTicket)
     : m_directControl(directControl)
     , m_replyEndpoint(std::move(replyEndpoint))
     , m_send(std::move(send))
     , m_counters(counters)
     , m_flushTimer(loop, [this] { flush(); })
+    , m_nextTicket(firstTicket)
 {
 }
 
--- a/src/tasks/coordinator/relayed_run_control.h
+++ b/src/tasks/coordinator/relayed_run_control.h
@@ -24,7 +24,9 @@
 //! workers itself.
 class relayed_run_control final : public external::run_control {
 public:
-    relayed_run_control(transport::event_loop& loop, external::run_control& directControl, std::string replyEndpoint, send_function send, relayed_order_counters& counters);
+    //! Tickets count from \a firstTicket, which must be higher than the tickets of former processes with the same endpoint: a relay
+    //! may still reply to their orders.
+    relayed_run_control(transport::event_loop& loop, external::run_control& directControl, std::string replyEndpoint, send_function send, relayed_order_counters& counters, std::uint64_t firstTicket);
     ~relayed_run_control() override;
 
     //! \brief Records that a daemon announced itself as a relay.
@@ -94,7 +96,7 @@
     //! Deadlines of the open orders with their tickets.
     std::set<std::pair<utils::time_point, std::uint64_t>> m_deadlines;
     std::map<std::string, protocol::RunOrders> m_queuedOrders;
-    std::uint64_t m_nextTicket = 1;
+    std::uint64_t m_nextTicket;
 };
 
 //! \brief Executes a leader's orders on a relay daemon and sends the replies back in batches.
--- a/tests/auto/tasks/tst_relayed_orders.cpp
+++ b/tests/auto/tasks/tst_relayed_orders.cpp
@@ -105,7 +105,7 @@
         : receiver(loop, "tcp://127.0.0.1:*", [this](zmq::message_t raw) { onMessage(raw); })
         , counters(registry)
         , control(
-              loop, direct, receiver.endpoint(), [this](const auto&, const auto& envelope) { collect(envelope); }, counters)
+              loop, direct, receiver.endpoint(), [this](const auto&, const auto& envelope) { collect(envelope); }, counters, 1)
         , tickTimer(loop, [this] { onTick(); })
     {
         control.updateRelay({ relayName, "dc", 1 }, utils::nowIncludingSuspend());
@@ -293,3 +293,32 @@
     EXPECT_EQ(replied.has_value(), !GetParam().isOverdue);
     EXPECT_EQ(replied.value_or(call).ticket, call.ticket);
 }
+
+// Guards against a leader process that takes a relay's late reply to its predecessor for the reply to an order of its own.
+TEST(RelayedOrders, ReplyToAFormerProcessIsIgnored)
+{
+    constexpr std::uint64_t firstTickets[] { 1000, 2000 };
+    transport::event_loop loop;
+    counting_direct_control direct;
+    utils::metric_registry registry;
+    relayed_order_counters counters(registry);
+    const auto now = utils::nowIncludingSuspend();
+    std::vector<protocol::RunReplies> replies;
+    unsigned answers = 0;
+    for (const auto firstTicket : firstTickets) {
+        std::uint64_t ticket = 0;
+        relayed_run_control control(
+            loop, direct, "tcp://leader", [&](const auto&, const auto& envelope) { ticket = envelope.orders().orders(0).ticket(); }, counters, firstTicket);
+        control.updateRelay({ relayName, "dc", 1 }, now);
+        control.stop({ "worker", "10.0.0.1:1" }, { { "job", 0, 0, 0 }, 1 }, 1, [&](const external::order_reply&) { ++answers; });
+        runLoop(loop, milliseconds(20));
+        ASSERT_NE(ticket, 0u);
+        for (const auto& former : replies)
+            control.handleReplies(former, now);
+        EXPECT_EQ(answers, 0u);
+        protocol::RunReplies reply;
+        reply.set_endpoint(relayName);
+        reply.add_replies()->set_ticket(ticket);
+        replies.push_back(reply);
+    }
+}
