--- a/tests/auto/platform/tst_odd_requests.cpp
+++ b/tests/auto/platform/tst_odd_requests.cpp
@@ -133,9 +133,9 @@
 {
     const std::string text = R"({"NodeName":"n","Zone":"z","Ip":"10.0.0.1","HeartbeatMs":2000,"BindAddrs":{"Front":"10.0.0.1:80","Readiness":"10.0.0.1:81"},"PortRange":[7000,7010],)"
                              R"("platform":{"Address":"10.0.0.2:8169","TtlMinMs":1000},"Limits":{"CpuShare":0.1},)"
-                             R"("Bounds":{"GraceS":6,"ConfigApplyMs":2500,"MaxHoldMs":10000,"StopMs":400,"ContactMs":4000,"status_s":120}})";
+                             R"("Bounds":{"GraceS":6,"ConfigApplyMs":2500,"MaxHoldMs":10000,"StopMs":400,"ContactMs":4000,"DrainMs":2500,"cancel_ms":3000,"status_s":120}})";
     ASSERT_TRUE(parsePlatformSettings(text, "settings.json").ok()) << parsePlatformSettings(text, "settings.json").status();
-    const std::vector<std::array<std::string, 3>> replacements { { "\"GraceS\":6", "\"GraceS\":-6", "GraceS" }, { "\"GraceS\":6", "\"GraceS\":1e30", "GraceS" }, { "\"MaxHoldMs\":10000", "\"MaxHoldMs\":1e300", "MaxHoldMs" }, { "\"status_s\":120", "\"status_s\":1e18", "status_s" },
+    const std::vector<std::array<std::string, 3>> replacements { { "\"GraceS\":6", "\"GraceS\":-6", "GraceS" }, { "\"GraceS\":6", "\"GraceS\":1e30", "GraceS" }, { "\"MaxHoldMs\":10000", "\"MaxHoldMs\":1e300", "MaxHoldMs" }, { "\"DrainMs\":2500", "\"DrainMs\":-1", "DrainMs" }, { "\"cancel_ms\":3000", "\"cancel_ms\":1e18", "cancel_ms" }, { "\"status_s\":120", "\"status_s\":1e18", "status_s" },
         { "\"HeartbeatMs\":2000", "\"HeartbeatMs\":-1", "HeartbeatMs" }, { "7000", "70000", "PortRange" }, { "7000", "-1", "PortRange" }, { "7000", "4294974296", "PortRange" }, { "0.1}", "-0.1}", "CpuShare" }, { "10.0.0.1:81", "10.0.0.1:65536", "65535" }, { "10.0.0.1:81", "10.0.0.1:0", "65535" } };
     for (const auto& [from, to, name] : replacements) {
         auto changed = text;
