--- a/src/libs/jobs/relay_choice.cpp
+++ b/src/libs/jobs/relay_choice.cpp
@@ -54,11 +54,13 @@
 std::vector<relay_daemon> selectRelays(const std::vector<relay_daemon>& relays, std::size_t workerCount, const std::string& dataCentre)
 {
     std::vector<std::tuple<bool, double, const relay_daemon*>> ranked;
+    ranked.reserve(relays.size());
     for (const auto& relay : relays)
         ranked.emplace_back(relay.dataCentre == dataCentre, rankOf(relay, dataCentre), &relay);
     std::ranges::sort(ranked, std::greater());
     ranked.resize(std::min(relays.size(), std::max(minimumRelays, (workerCount + workersPerRelay - 1) / workersPerRelay)));
     std::vector<relay_daemon> selected;
+    selected.reserve(ranked.size());
     for (const auto& entry : ranked)
         selected.push_back(*std::get<2>(entry));
     return selected;
