Coordinator: Tell a store that refuses some calls from one that can't be reached

A leader whose listing failed took its directory and inbox for up to date until the next listing succeeded, also if the store had refused only that call, for example beyond a limit of its rate, and had accepted changes. The copy counts as complete without the store's word only while the leader's lease can't be renewed either.

PrefixWatch.CopyIsCompleteWhileTheStoreFails has the second case; the former rule returned the present time for both.

--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -321,8 +321,9 @@
         m_onDeposed("a worker has seen a higher fencing token");
         return;
     }
-    m_engine.confirmDirectory(m_workerWatch.completeUntil(now));
-    m_engine.confirmCancellations(m_inboxWatch.completeUntil(now));
+    const bool isStoreReachable = m_election.isLeaseRecentlyRenewed(now);
+    m_engine.confirmDirectory(m_workerWatch.completeUntil(now, isStoreReachable));
+    m_engine.confirmCancellations(m_inboxWatch.completeUntil(now, isStoreReachable));
     for (const auto& command : m_engine.decideCommands(now))
         executeCommand(command);
     writePendingProgress();
--- a/src/tasks/coordinator/prefix_watch.cpp
+++ b/src/tasks/coordinator/prefix_watch.cpp
@@ -90,10 +90,10 @@
     return m_confirmedAt;
 }
 
-utils::time_point prefix_watch::completeUntil(utils::time_point now) const
+utils::time_point prefix_watch::completeUntil(utils::time_point now, bool isStoreReachable) const
 {
     const bool isListed = m_confirmedAt != utils::time_point();
-    return m_isSynced || !isListed ? m_confirmedAt : now;
+    return isStoreReachable || m_isSynced || !isListed ? m_confirmedAt : now;
 }
 
 external::revision prefix_watch::revision() const
--- a/src/tasks/coordinator/prefix_watch.h
+++ b/src/tasks/coordinator/prefix_watch.h
@@ -42,9 +42,9 @@
     bool isRequestPending() const;
     //! \brief Time up to which all changes were reported; the epoch of the clock before the first reply.
     utils::time_point confirmedAt() const;
-    //! \brief Time up to which the copy is as complete as this daemon can have it: confirmedAt(), or \a now while the store fails
-    //! after a first listing.
-    utils::time_point completeUntil(utils::time_point now) const;
+    //! \brief Time up to which the copy is as complete as this daemon can have it: confirmedAt(), or \a now while the store answers
+    //! neither a listing nor, by \a isStoreReachable, any other call.
+    utils::time_point completeUntil(utils::time_point now, bool isStoreReachable) const;
     //! \brief Revision of the store up to which changes were reported.
     external::revision revision() const;
 
--- a/tests/auto/tasks/tst_coordinator_parts.cpp
+++ b/tests/auto/tasks/tst_coordinator_parts.cpp
@@ -131,12 +131,14 @@
     watch.start();
     runLoop(loop, shortRunTime);
     const auto later = utils::nowIncludingSuspend() + std::chrono::hours(1);
-    EXPECT_EQ(prefix_watch(loop, store, "workers", utils::milliseconds(5000), {}, {}).completeUntil(later), utils::time_point());
-    EXPECT_EQ(watch.completeUntil(later), watch.confirmedAt());
+    EXPECT_EQ(prefix_watch(loop, store, "workers", utils::milliseconds(5000), {}, {}).completeUntil(later, false), utils::time_point());
+    EXPECT_EQ(watch.completeUntil(later, false), watch.confirmedAt());
     store.replyMode = reply_mode::Refuses;
     watch.refresh();
     runLoop(loop, shortRunTime);
-    EXPECT_EQ(watch.completeUntil(later), later);
+    EXPECT_EQ(watch.completeUntil(later, false), later);
+    // The store refuses only some calls, for example beyond a limit of its rate, and may have changes.
+    EXPECT_EQ(watch.completeUntil(later, true), watch.confirmedAt());
 }
 
 // Guards against a lost cancellation: its inbox entry was written while the leader processed the entry of the job's
