--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -144,13 +144,16 @@
 
 void simulated_fleet::loseRuns(fake_worker& worker)
 {
+    std::set<external::task_id> lost;
     for (const auto& entry : worker.running)
-        ++m_crashesUnderTask[entry.first];
-    // The engine can't tell a run whose end was never listed from one that ran until the crash.
+        lost.insert(entry.first);
+    // The engine can't tell a run that ended by itself without being listed from one that ran until the crash.
     for (const auto& end : worker.ended) {
-        if (end.number > worker.lastListedEnd)
-            ++m_crashesUnderTask[end.run.task];
+        if (end.number > worker.lastListedEnd && end.cause != external::end_cause::Stopped)
+            lost.insert(end.run.task);
     }
+    for (const auto& task : lost)
+        ++m_crashesUnderTask[task];
     worker.running.clear();
     worker.ended.clear();
 }
