Coordinator: Number the forwarded calls of each process apart

As for relayed orders: the leader's late reply to a former process of a daemon could answer another call of the present one, so that a submission or cancellation counts as stored that isn't. Found in review; no run is known that shows it. Test: ForwardedCalls.ReplyToAFormerProcessIsIgnored (both processes counted from 1 before).

--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -38,6 +38,7 @@
         this->send(endpoint, envelope);
     };
     const auto incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<utils::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    m_forwardedCalls.setFirstTicket(incarnation);
     m_relayedControl = std::make_unique<relayed_run_control>(loop(), *m_runControl, m_settings.peerEndpoint, send, m_orderCounters, incarnation);
     m_orderRelay = std::make_unique<order_relay>(loop(), *m_runControl, m_settings.peerEndpoint, send);
     try {
--- a/src/tasks/coordinator/forwarded_calls.cpp
+++ b/src/tasks/coordinator/forwarded_calls.cpp
@@ -18,6 +18,11 @@
 
 } // namespace
 
+void forwarded_calls::setFirstTicket(std::uint64_t firstTicket)
+{
+    m_nextTicket = firstTicket;
+}
+
 job_call forwarded_calls::add(const job_call& call, utils::time_point now)
 {
     auto sentCall = call;
--- a/src/tasks/coordinator/forwarded_calls.h
+++ b/src/tasks/coordinator/forwarded_calls.h
@@ -12,6 +12,8 @@
 //! \brief Calls that a daemon has forwarded to the leader and that have no reply yet.
 class forwarded_calls {
 public:
+    //! \brief Numbers the calls from \a firstTicket, which must be higher than the tickets of former processes with the same endpoint.
+    void setFirstTicket(std::uint64_t firstTicket);
     //! \brief Records a call and returns the one to send, which has a ticket of its own.
     job_call add(const job_call& call, utils::time_point now);
     //! \brief Removes the call that was sent with \a ticket; nullopt if it is unknown, for example because it was overdue.
--- a/tests/auto/tasks/tst_relayed_orders.cpp
+++ b/tests/auto/tasks/tst_relayed_orders.cpp
@@ -322,3 +322,16 @@
         replies.push_back(reply);
     }
 }
+
+// Guards against a daemon that takes the leader's late reply to its predecessor's call for the reply to a call of its own.
+TEST(ForwardedCalls, ReplyToAFormerProcessIsIgnored)
+{
+    forwarded_calls former;
+    forwarded_calls present;
+    former.setFirstTicket(1000);
+    present.setFirstTicket(2000);
+    const auto formerTicket = former.add({}, at(0)).ticket;
+    const auto ticket = present.add({}, at(0)).ticket;
+    EXPECT_FALSE(present.take(formerTicket));
+    EXPECT_TRUE(present.take(ticket));
+}
