Jobs: Log missed latency targets and pace orders

No log line told a pace order, how long a service task had missed its latency target, how old the report was by which that was judged, or what kept its worker from a review of its paces, so that the hypotheses of docs/incidents/missed-latency-targets.md couldn't be told apart. "target_missed" is written once for a miss that lasts a second or longer, "target_met" at its end, and "pace_ordered" with the routine lines, whose rate is bounded.

--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -197,6 +197,9 @@
     //! \brief Duration, in ms, of the other tasks of a run's step; nullopt if too few of them have made progress.
     std::optional<double> siblingDuration(const run_state& run) const;
     void sampleLatencies(worker_state& worker, utils::time_point now);
+    //! \brief Logs service tasks whose latency target is missed for long, and what keeps their worker from a review of its paces.
+    void reportMissedTarget(run_state& run, utils::time_point now);
+    void orderPace(run_state& run, int percent, utils::time_point now, std::vector<engine_command>& commands);
     void paceBestEffortRuns(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
     void startWaitingTasks(utils::time_point now, std::vector<engine_command>& commands);
     void startReservedTask(job_state& job, unsigned step, unsigned index, utils::time_point now, std::vector<engine_command>& commands);
--- a/src/libs/jobs/job_engine_pacing.cpp
+++ b/src/libs/jobs/job_engine_pacing.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <limits>
+#include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "jobs/job_engine.h"
 
 namespace camphorsaddle::jobs {
@@ -20,6 +22,8 @@
     // Time after which the tail latency, measured over half a second, reflects a new pace.
     constexpr utils::milliseconds paceEffectDelay { 550 };
     constexpr int minimumPaceChange = 10;
+    // A miss is logged from this duration on.
+    constexpr utils::milliseconds loggedTargetMissTime { 1000 };
 
     bool isServing(const run_state& run)
     {
@@ -53,11 +57,48 @@
         const double headroom = static_cast<double>(spec.latencyTarget.count()) / static_cast<double>(run->load);
         const auto sample = m_interference.nextSample(run->image, run->latencySample, headroom, usage, now);
         m_interference.updateEstimates(run->image, run->latencySample, sample);
+        const auto missedSince = run->latencySample.targetMissedSince;
         run->latencySample = sample;
+        if (sample.targetMissedSince != utils::time_point())
+            reportMissedTarget(*run, now);
+        else if (std::exchange(run->isMissLogged, false))
+            reportEvent(engine_event_kind::TargetMet, *run, absl::StrCat("missed_ms=", utils::millisecondsBetween(missedSince, now).count()));
     }
     updateServiceHeadrooms(worker, m_interference);
 }
 
+void job_engine::reportMissedTarget(run_state& run, utils::time_point now)
+{
+    const auto missedTime = utils::millisecondsBetween(run.latencySample.targetMissedSince, now);
+    if (run.isMissLogged || missedTime < loggedTargetMissTime)
+        return;
+    run.isMissLogged = true;
+    const auto& worker = *run.worker;
+    unsigned runCount = 0;
+    int paceSum = 0;
+    unsigned unansweredOrders = 0;
+    unsigned recentChanges = 0;
+    unsigned otherPhases = 0;
+    for (const auto* other : worker.runs) {
+        if (!other->job->spec.steps[other->step].isBestEffort)
+            continue;
+        ++runCount;
+        paceSum += other->pace;
+        unansweredOrders += other->isPaceOrderPending ? 1 : 0;
+        recentChanges += worker.answeredAt < other->paceChangedAt + paceEffectDelay ? 1 : 0;
+        otherPhases += other->phase != run_phase::Running ? 1 : 0;
+    }
+    reportEvent(engine_event_kind::TargetMissed, run, absl::StrCat("missed_ms=", missedTime.count(), " tail_ms=", run.load, " target_ms=", run.job->spec.steps[run.step].latencyTarget.count(), " report_age_ms=", utils::millisecondsBetween(worker.reportSentAt, now).count(), " best_effort=", runCount, " pace_sum=", paceSum, " pace_unanswered=", unansweredOrders, " pace_recent=", recentChanges, " not_running=", otherPhases));
+}
+
+void job_engine::orderPace(run_state& run, int percent, utils::time_point now, std::vector<engine_command>& commands)
+{
+    const auto& worker = *run.worker;
+    run.isPaceOrderPending = true;
+    commands.push_back(pace_command { { worker.description.id, worker.description.endpoint }, idOf(run), percent });
+    reportEvent(engine_event_kind::PaceOrdered, run, absl::StrCat("pace=", percent, " former=", run.isPaceKnown ? run.pace : -1, " report_age_ms=", utils::millisecondsBetween(worker.reportSentAt, now).count()), true);
+}
+
 void job_engine::paceBestEffortRuns(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands)
 {
     // Between reports nothing changes, except that the target of an unresponsive worker's service task is missed for longer.
@@ -74,8 +115,7 @@
         if (run->isPaceOrderPending || worker.answeredAt < run->paceChangedAt + paceEffectDelay)
             return;
         if (!run->isPaceKnown) {
-            run->isPaceOrderPending = true;
-            commands.push_back(pace_command { { worker.description.id, worker.description.endpoint }, idOf(*run), isTargetMissed ? 0 : 100 });
+            orderPace(*run, isTargetMissed ? 0 : 100, now, commands);
             continue;
         }
         bestEffortRuns.push_back(run);
@@ -119,8 +159,7 @@
         const bool isWorthwhile = std::abs(pace - bestEffortRun->pace) >= minimumPaceChange || pace == 0 || pace == 100;
         if (pace == bestEffortRun->pace || !isWorthwhile)
             continue;
-        bestEffortRun->isPaceOrderPending = true;
-        commands.push_back(pace_command { { worker.description.id, worker.description.endpoint }, idOf(*bestEffortRun), pace });
+        orderPace(*bestEffortRun, pace, now, commands);
     }
 }
 
--- a/src/libs/jobs/job_engine_stalls.cpp
+++ b/src/libs/jobs/job_engine_stalls.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-    constexpr utils::milliseconds millisecondsBetween(utils::time_point from, utils::time_point to)
-    {
-        return std::chrono::duration_cast<utils::milliseconds>(to - from);
-    }
-
     // A run is stalled if its estimated remaining time exceeds this multiple of the duration of its sibling tasks, or
     // of the estimate if no sibling is known.
     constexpr double stalledFactor = 1.6;
@@ -52,7 +47,7 @@
 
     std::string describeReport(const run_state& run, utils::time_point now)
     {
-        return absl::StrCat("; report_age_ms=", millisecondsBetween(run.worker->reportHandledAt, now).count(), "..", millisecondsBetween(run.worker->reportSentAt, now).count());
+        return absl::StrCat("; report_age_ms=", utils::millisecondsBetween(run.worker->reportHandledAt, now).count(), "..", utils::millisecondsBetween(run.worker->reportSentAt, now).count());
     }
 
 } // namespace
@@ -124,7 +119,7 @@
         return std::nullopt;
     const int gained = run.percent - std::max(run.initialPercent, 0);
     const auto worked = static_cast<double>(elapsed.count());
-    const auto sinceReport = static_cast<double>(millisecondsBetween(run.worker->reportHandledAt, now).count());
+    const auto sinceReport = static_cast<double>(utils::millisecondsBetween(run.worker->reportHandledAt, now).count());
     const double remainingDuration = gained > 0 ? worked * (100 - run.percent) / gained - sinceReport : expected * factor + worked;
     if (remainingDuration < expected * factor + static_cast<double>(stalledMargin.count()))
         return std::nullopt;
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -68,6 +68,8 @@
     double gainOfLeaving = 0;
     //! Last latency sample of a service task.
     latency_sample latencySample;
+    //! The log has a line on the present miss of its latency target.
+    bool isMissLogged = false;
     //! Process that its start was ordered for.
     worker_process process;
     //! A process of its worker has listed it, so that no other one can execute its start order.
--- a/src/libs/utils/clock.h
+++ b/src/libs/utils/clock.h
@@ -19,4 +19,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr milliseconds millisecondsBetween(time_point from, time_point to)
+{
+    return std::chrono::duration_cast<milliseconds>(to - from);
+}
+
 } // namespace camphorsaddle::utils
