Coordinator, jobs: Pause best-effort work on the daemon that sees the reports

Cause: the pause of best-effort work beside a target that is missed for too long was decided by the leader alone, by the time at which it handled reports. Report, decision, order and relay follow one another, each as late as the leader is, and a run with a pace order under way kept the whole worker from a review. The pace that the leader believed needn't be the one in force after an order without an answer.

The daemon that executes the orders to a worker sees its reports first. jobs::interference_guard there pauses all best-effort runs of a worker, those that start meanwhile too, when a service task has missed its target for 1.8 s by the worker's own clock, however late the leader is. Starts tell the daemon which runs serve and which are best effort; a daemon that lists a run it knows nothing of asks the leader. While a target is missed and no order observes the worker, the daemon observes it itself, without a renewal of the lease. Reports tell the leader the pace in force, so that late replies and unanswered orders no longer leave it with a wrong one.

Evidence: tst_missed_targets plays services beside best-effort work that starts, ends and is paced in turn, with a leader that is late, lost pace orders and changes of the relay. Without the guard's pauses 3 of 72 cases keep a task over its target for more than 4 s (up to 5.04 s); with it none.

--- a/src/libs/external/run_control.h
+++ b/src/libs/external/run_control.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,23 @@
     auto operator<=>(const run_id&) const = default;
 };
 
+//! \brief What the leader knows of a run and its worker doesn't report.
+struct run_traits {
+    //! Highest tail latency that a task which serves requests may have; 0 for any other task.
+    utils::milliseconds latencyTarget { 0 };
+    //! Uses the processors that other tasks leave unused, and may be slowed down for them.
+    bool isBestEffort = false;
+
+    auto operator<=>(const run_traits&) const = default;
+};
+
+struct described_run {
+    run_id run;
+    run_traits traits;
+
+    auto operator<=>(const described_run&) const = default;
+};
+
 struct run_order {
     run_id run;
     //! Description of the work, as the caller sent it.
@@ -51,6 +69,7 @@
     worker_time leaseEnd = 0;
     //! Fencing token of the lease holder; the worker rejects a token that is lower than the highest one it has received.
     std::uint64_t fence = 0;
+    run_traits traits;
 };
 
 //! \brief Outcome of an order to a worker.
@@ -100,6 +119,8 @@
     //! Tail latency in milliseconds for a task that serves requests; for other tasks the processors in use, in thousandths of
     //! a core.
     std::int64_t load = 0;
+    //! Share of its speed that the run is limited to, percent; nullopt if unknown.
+    std::optional<int> pace;
 };
 
 enum class end_cause {
@@ -138,6 +159,8 @@
     worker_time leaseEnd = 0;
     //! Maximum time that the worker waits for a run to end before it answers.
     utils::milliseconds wait { 0 };
+    //! Runs on the worker, after a reply that needs descriptions.
+    std::vector<described_run> described;
 };
 
 struct observation {
@@ -153,6 +176,8 @@
     observation workerState;
     //! The order was reported as NoAnswer before this answer arrived.
     bool isLate = false;
+    //! A run is listed of which the executing daemon has no traits.
+    bool needsDescriptions = false;
 };
 
 //! \brief Asynchronous interface for orders to workers. A worker checks the fencing token of each order and runs everything
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -155,6 +155,7 @@
     //! \brief Keeps a run that the present process of its restarted worker may execute.
     void keepForNextProcess(run_state& run, utils::time_point now);
     external::run_id idOf(const run_state& run) const;
+    external::run_traits traitsOf(const run_state& run) const;
     void reportEvent(engine_event_kind kind, const run_state& run, const std::string& detail, bool isRoutine = false);
     void reportEvent(engine_event_kind kind, const worker_state& worker, const std::string& detail);
 
@@ -178,6 +179,8 @@
     //! \brief Returns the reported run, or nullptr if the engine doesn't track it. \a isNewest if no reply of the process has an
     //! equal or later time.
     run_state* handleRunReport(worker_state& worker, const external::run_report& report, bool isNewest, utils::time_point now);
+    void adoptPace(run_state& run, std::optional<int> pace, utils::time_point now);
+    std::vector<external::described_run> describeRuns(const worker_state& worker) const;
     void handleMissingRun(run_state& run, utils::time_point sentAt, utils::time_point now);
     void updateClock(worker_state& worker, external::worker_time clock, utils::time_point now);
     external::worker_time grantLease(worker_state& worker, utils::time_point now);
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -426,7 +426,7 @@
         updateServiceHeadrooms(worker, m_interference);
     }
     run.checkpoint = spec.hasCheckpoints ? task.checkpoint : std::string();
-    commands.push_back(start_command { { worker.description.id, worker.description.endpoint }, { idOf(run), job.spec.payload, run.checkpoint, grantLease(worker, now), m_term } });
+    commands.push_back(start_command { { worker.description.id, worker.description.endpoint }, { idOf(run), job.spec.payload, run.checkpoint, grantLease(worker, now), m_term, traitsOf(run) } });
 }
 
 void job_engine::appendStopCommands(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands)
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "jobs/job_engine.h"
@@ -115,6 +116,7 @@
     worker.mayHaveRestarted = false;
     worker.answeredAt = now;
     worker.nextObservation = now;
+    worker.needsDescriptions = reply.needsDescriptions;
     resolvePossibleCrash(worker, false, now);
     reviewSuspectRun(worker, now);
     if (!worker.hasAcceptedTerm)
@@ -191,11 +193,33 @@
         run->progressClock = worker.reportClock;
     }
     run->load = report.load;
+    adoptPace(*run, report.pace, now);
     if (!report.checkpoint.empty())
         run->checkpoint = report.checkpoint;
     return run;
 }
 
+// The executing daemon may have paused the run, and knows of pace orders that had no answer.
+void job_engine::adoptPace(run_state& run, std::optional<int> pace, utils::time_point now)
+{
+    if (!pace || run.isPaceOrderPending)
+        return;
+    run.isPaceKnown = true;
+    if (*pace == run.pace)
+        return;
+    run.pace = *pace;
+    run.paceChangedAt = now;
+    run.paceClock = std::max(run.paceClock, run.worker->reportClock);
+}
+
+std::vector<external::described_run> job_engine::describeRuns(const worker_state& worker) const
+{
+    std::vector<external::described_run> result;
+    for (const auto* run : worker.runs)
+        result.push_back({ idOf(*run), traitsOf(*run) });
+    return result;
+}
+
 // Only an observation that was sent after the last answered order proves that a worker doesn't execute a run.
 void job_engine::handleMissingRun(run_state& run, utils::time_point sentAt, utils::time_point now)
 {
@@ -232,7 +256,9 @@
     const bool mayHaveRuns = !worker.runs.empty() || m_unconfirmedWorkers.contains(worker.description.id);
     const bool isNeeded = mayHaveRuns || worker.lastEnd > worker.acknowledgedEnd || (!worker.hasAcceptedTerm && worker.isAnnounced);
     const auto order = [&](utils::milliseconds wait) {
-        external::observe_order result { worker.mayHaveRestarted ? 0 : worker.acknowledgedEnd, m_term, 0, wait };
+        external::observe_order result { worker.mayHaveRestarted ? 0 : worker.acknowledgedEnd, m_term, 0, wait, {} };
+        if (std::exchange(worker.needsDescriptions, false))
+            result.described = describeRuns(worker);
         // The lease of an unresponsive worker isn't renewed, so that its tasks may start elsewhere after it has
         // expired.
         if (worker.hasAcceptedTerm && worker.clock != 0 && worker.unansweredObserves == 0 && !worker.runs.empty())
--- a/src/libs/jobs/job_engine_pacing.cpp
+++ b/src/libs/jobs/job_engine_pacing.cpp
@@ -115,7 +115,7 @@
         if (run->isPaceOrderPending || worker.answeredAt < run->paceChangedAt + paceEffectDelay)
             return;
         if (!run->isPaceKnown) {
-            orderPace(*run, isTargetMissed ? 0 : 100, now, commands);
+            orderPace(*run, isTargetMissed ? 0 : run->pace, now, commands);
             continue;
         }
         bestEffortRuns.push_back(run);
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -111,6 +111,12 @@
     return { { run.job->spec.id, 0, run.step, run.index }, run.number };
 }
 
+external::run_traits job_engine::traitsOf(const run_state& run) const
+{
+    const auto& spec = run.job->spec.steps[run.step];
+    return { spec.isLongRunning ? spec.latencyTarget : utils::milliseconds(0), spec.isBestEffort };
+}
+
 run_state* job_engine::findRun(worker_state& worker, const external::run_id& id)
 {
     const auto found = std::ranges::find_if(worker.runs, [&](const auto* run) {
@@ -363,6 +369,9 @@
     run->isPaceOrderPending = false;
     run->paceChangedAt = now;
     run->paceClock = std::max(run->paceClock, reply.clock);
+    // An order without an answer may take effect seconds later.
+    if (reply.outcome == external::order_outcome::NoAnswer)
+        run->isPaceKnown = false;
     if (reply.outcome != external::order_outcome::Accepted)
         return;
     run->pace = percent;
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -240,6 +240,8 @@
     bool isObservePending = false;
     bool isProbePending = false;
     bool needsProbe = false;
+    //! The daemon that executes its orders has no traits of some of its runs.
+    bool needsDescriptions = false;
     utils::time_point nextObservation;
     //! Consecutive observations without an answer.
     unsigned unansweredObserves = 0;
--- a/src/libs/utils/events.cpp
+++ b/src/libs/utils/events.cpp
@@ -70,6 +70,8 @@
         events::carrierFound,
         events::carrierLost,
         events::coordinatorLate,
+        events::bestEffortHeld,
+        events::pauseFailed,
         events::rulesUnconfirmed,
         events::rulesConfirmed,
         events::followerRevisionUnknown,
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "tasks/coordinator/call_codec.h"
+#include "tasks/coordinator/guarded_run_control.h"
 #include "utils/errors.h"
 #include "utils/events.h"
 #include "utils/overloaded.h"
@@ -33,7 +34,7 @@
     if (m_httpClient == nullptr)
         return utils::makeError(absl::StatusCode::kInternal, "open coordinator", "", "libcurl could not be initialized");
     m_store = m_deployment.makeStore(*m_httpClient, m_context.metrics);
-    m_runControl = m_deployment.makeRunControl(*m_httpClient);
+    m_runControl = std::make_unique<guarded_run_control>(loop(), m_deployment.makeRunControl(*m_httpClient));
     const auto send = [this](const auto& endpoint, const auto& envelope) {
         this->send(endpoint, envelope);
     };
--- a/src/tasks/coordinator/relayed_run_control.cpp
+++ b/src/tasks/coordinator/relayed_run_control.cpp
@@ -224,6 +224,7 @@
     message.set_payload(order.payload);
     message.set_checkpoint(order.checkpoint);
     message.set_lease_end(order.leaseEnd);
+    writeTraits(order.traits, *message.mutable_traits());
     enqueue(relayEndpoint, std::move(message), utils::milliseconds(0), [callback = std::move(callback)](const protocol::RunReply& reply, bool) { callback(readOrderReply(reply)); });
 }
 
@@ -266,6 +267,11 @@
     message.set_acknowledged_end(order.acknowledgedEnd);
     message.set_lease_end(order.leaseEnd);
     message.set_wait_ms(order.wait.count());
+    for (const auto& run : order.described) {
+        auto& row = *message.add_described();
+        writeRun(run.run, *row.mutable_run());
+        writeTraits(run.traits, *row.mutable_traits());
+    }
     enqueue(relayEndpoint, std::move(message), order.wait, [callback = std::move(callback)](const protocol::RunReply& reply, bool isLate) {
         auto result = readObserveReply(reply);
         result.isLate = isLate;
@@ -312,7 +318,7 @@
     };
     switch (order.kind()) {
     case protocol::RunOrder::START:
-        m_directControl.start(worker, { readRun(order.run()), order.payload(), order.checkpoint(), order.lease_end(), order.fence() }, sendReply);
+        m_directControl.start(worker, { readRun(order.run()), order.payload(), order.checkpoint(), order.lease_end(), order.fence(), readTraits(order.traits()) }, sendReply);
         return;
     case protocol::RunOrder::STOP:
         m_directControl.stop(worker, readRun(order.run()), order.fence(), sendReply);
@@ -321,7 +327,7 @@
         m_directControl.pace(worker, readRun(order.run()), order.percent(), order.fence(), sendReply);
         return;
     case protocol::RunOrder::OBSERVE:
-        m_directControl.observe(worker, { order.acknowledged_end(), order.fence(), order.lease_end(), utils::milliseconds(order.wait_ms()) }, sendReply);
+        m_directControl.observe(worker, readObserveOrder(order), sendReply);
         return;
     default:
         utils::logEvent(utils::events::peerMessageDropped, { { "reason", "unknown order" }, { "peer", replyEndpoint } });
--- a/src/tasks/coordinator/run_codec.cpp
+++ b/src/tasks/coordinator/run_codec.cpp
@@ -21,7 +21,7 @@
 
     bool isWithinBounds(const external::observation& state)
     {
-        return isWithin(state.clock, maximumTime) && isWithin(state.incarnation, maximumTime) && std::ranges::all_of(state.running, [](const auto& report) { return isWithin(report.percent, maximumPercent) && isWithin(report.load, maximumLoad); });
+        return isWithin(state.clock, maximumTime) && isWithin(state.incarnation, maximumTime) && std::ranges::all_of(state.running, [](const auto& report) { return isWithin(report.percent, maximumPercent) && isWithin(report.load, maximumLoad) && isWithin(report.pace.value_or(0), maximumPercent); });
     }
 
     void logOutOfBounds(absl::string_view step, const protocol::RunReply& source)
@@ -56,6 +56,28 @@
     return { { source.job(), 0, source.step(), source.index() }, source.number() };
 }
 
+void writeTraits(const external::run_traits& traits, protocol::RunTraits& target)
+{
+    target.set_target_ms(traits.latencyTarget.count());
+    target.set_best_effort(traits.isBestEffort);
+}
+
+external::run_traits readTraits(const protocol::RunTraits& source)
+{
+    if (isWithin(source.target_ms(), maximumLoad))
+        return { utils::milliseconds(source.target_ms()), source.best_effort() };
+    utils::logEvent(utils::events::peerMessageDropped, { { "reason", "a latency target is out of bounds" }, { "target_ms", std::to_string(source.target_ms()) } });
+    return { utils::milliseconds(0), source.best_effort() };
+}
+
+external::observe_order readObserveOrder(const protocol::RunOrder& source)
+{
+    external::observe_order order { source.acknowledged_end(), source.fence(), source.lease_end(), utils::milliseconds(source.wait_ms()), {} };
+    for (const auto& described : source.described())
+        order.described.push_back({ readRun(described.run()), readTraits(described.traits()) });
+    return order;
+}
+
 void writeReply(const external::order_reply& reply, protocol::RunReply& target)
 {
     target.set_outcome(static_cast<int>(reply.outcome));
@@ -73,7 +95,10 @@
         row.set_checkpoint(report.checkpoint);
         row.set_percent(report.percent);
         row.set_load(report.load);
+        if (report.pace)
+            row.set_pace(*report.pace);
     }
+    target.set_needs_descriptions(reply.needsDescriptions);
     for (const auto& end : reply.workerState.ended) {
         auto& row = *target.add_ended();
         row.set_number(end.number);
@@ -93,9 +118,9 @@
 
 external::observe_reply readObserveReply(const protocol::RunReply& source)
 {
-    external::observe_reply reply { toOutcome(source.outcome()), { source.clock(), source.life(), {}, {} } };
+    external::observe_reply reply { toOutcome(source.outcome()), { source.clock(), source.life(), {}, {} }, false, source.needs_descriptions() };
     for (const auto& row : source.running())
-        reply.workerState.running.push_back({ readRun(row.run()), row.checkpoint(), row.percent(), row.load() });
+        reply.workerState.running.push_back({ readRun(row.run()), row.checkpoint(), row.percent(), row.load(), row.has_pace() ? std::optional(row.pace()) : std::nullopt });
     for (const auto& row : source.ended())
         reply.workerState.ended.push_back({ row.number(), readRun(row.run()), toEndCause(row.cause()), row.checkpoint() });
     if (!isWithinBounds(reply.workerState)) {
--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -295,6 +295,13 @@
     }
     for (auto& [id, worker] : m_workers)
         endRuns(*worker);
+    for (const auto& id : m_guard.overdueWorkers(m_now)) {
+        const auto& worker = *m_workers.at(id);
+        if (worker.faults.isUnresponsive || worker.faults.isDown || worker.faults.isReplaced || worker.faults.losesObserveReplies)
+            continue;
+        auto overdue = report(worker);
+        review(id, overdue, worker.fence);
+    }
     if (!m_lag)
         decide();
     if (auto* former = engineOfTerm(m_formerTerm); former != nullptr && former != m_engine.get() && !former->isDeposed()) {
--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "jobs/interference_guard.h"
 #include "jobs/job_engine.h"
 #include "jobs/simulated_lag.h"
 
@@ -24,6 +25,8 @@
     bool losesObserveReplies = false;
     //! Half of the start orders take effect after this delay and get no reply.
     utils::milliseconds startDelay { 0 };
+    //! A tenth of the orders to change a pace take effect after this delay and get no reply.
+    utils::milliseconds paceDelay { 0 };
     bool failsAll = false;
     bool hangs = false;
     bool isUnhealthy = false;
@@ -126,6 +129,11 @@
     }
     //! \brief Has the worker's entry say that it drains.
     void drainWorker(const std::string& id);
+    //! \brief Has another daemon execute the orders from now on.
+    void changeRelay()
+    {
+        m_guard = {};
+    }
     //! \brief Has the leader handle its input late.
     void setLag(simulated_lag lag);
     //! \brief Duration of the tasks that end by themselves, and time after which a long-running task serves.
@@ -202,6 +210,11 @@
     void start(const start_command& command, std::uint64_t term);
     external::order_reply apply(fake_worker& worker, const external::run_order& order);
     void observe(const observe_command& command, std::uint64_t term);
+    external::observe_reply report(const fake_worker& worker) const;
+    void review(const std::string& worker, external::observe_reply& report, std::uint64_t term);
+    //! \brief Sends an order to change a pace, on behalf of a leader or of the guard.
+    void setPace(const std::string& worker, const external::run_id& run, int percent, const std::function<void(external::order_reply)>& answer);
+    void pause(const std::string& worker, const external::run_id& run);
     //! \brief Engine of a leader that still runs, or nullptr.
     job_engine* engineOfTerm(std::uint64_t term) const;
     void endRuns(fake_worker& worker);
@@ -225,6 +238,8 @@
     std::vector<event> m_events;
     std::map<std::string, std::unique_ptr<fake_worker>> m_workers;
     std::unique_ptr<job_engine> m_engine;
+    //! Guard of the daemon that executes the orders.
+    interference_guard m_guard;
     std::uint64_t m_term = 1;
     //! A former leader that still sends orders, with its term and the time at which it ends.
     std::unique_ptr<job_engine> m_formerEngine;
--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -80,12 +80,12 @@
                        });
                    },
                    [&](const pace_command& order) {
-                       schedule(orderDelay, [this, order, term] {
-                           auto& worker = *m_workers.at(order.worker.id);
-                           if (const auto found = worker.running.find(order.run.task); found != worker.running.end())
-                               found->second.pace = order.percent;
+                       const auto handle = [this, order, term](const external::order_reply& handled) {
+                           engineOfTerm(term)->handlePaceReply(order.worker.id, order.run, order.percent, handled, m_now);
+                       };
+                       setPace(order.worker.id, order.run, order.percent, [this, term, deadline, handle](const external::order_reply& reply) {
                            handleReply(
-                               term, leader_input::OrderReply, m_now + std::chrono::hours(1), [this, order, term, clock = clockOf(worker)](bool) { engineOfTerm(term)->handlePaceReply(order.worker.id, order.run, order.percent, { external::order_outcome::Accepted, clock }, m_now); }, [] {});
+                               term, leader_input::OrderReply, deadline, [handle, reply](bool) { handle(reply); }, [handle] { handle({ external::order_outcome::NoAnswer, 0 }); });
                        });
                    },
                    [&](const observe_command& order) { observe(order, term); },
@@ -93,6 +93,40 @@
         command);
 }
 
+void simulated_fleet::setPace(const std::string& id, const external::run_id& run, int percent, const std::function<void(external::order_reply)>& answer)
+{
+    const auto answerLater = [this, id, run, percent, answer](utils::milliseconds delay, const external::order_reply& reply) {
+        schedule(delay, [this, id, run, percent, answer, reply] {
+            m_guard.handlePaceReply(id, run, percent, reply);
+            answer(reply);
+        });
+    };
+    const auto apply = [this, id, run, percent] {
+        auto& worker = *m_workers.at(id);
+        if (const auto found = worker.running.find(run.task); found != worker.running.end() && found->second.run == run)
+            found->second.pace = percent;
+        return external::order_reply { external::order_outcome::Accepted, clockOf(worker) };
+    };
+    const auto delay = m_workers.at(id)->faults.paceDelay;
+    if (delay.count() > 0 && m_random() % 10 == 0) {
+        schedule(delay, [apply] { apply(); });
+        answerLater(callTimeout, { external::order_outcome::NoAnswer, 0 });
+        return;
+    }
+    schedule(orderDelay, [answerLater, apply] { answerLater(orderDelay, apply()); });
+}
+
+void simulated_fleet::pause(const std::string& worker, const external::run_id& run)
+{
+    setPace(worker, run, 0, [](const external::order_reply&) {});
+}
+
+void simulated_fleet::review(const std::string& worker, external::observe_reply& report, std::uint64_t term)
+{
+    for (const auto& run : m_guard.review(worker, report, term, m_now).runsToPause)
+        pause(worker, run);
+}
+
 // A completion is preserved if the engine acknowledged it or a worker with a valid lease still reports it.
 bool simulated_fleet::isCompletionPreserved(const external::task_id& task) const
 {
@@ -186,6 +220,7 @@
             term, leader_input::OrderReply, sentAt + orderTimeout, [handle, reply](bool) { handle(reply); }, [handle] { handle({ external::order_outcome::NoAnswer, 0 }); });
     };
     checkStartTime(command);
+    m_guard.describeStart(command.worker.id, { command.order.run, command.order.traits }, term, m_now);
     if (worker.faults.isUnresponsive) {
         schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
         return;
@@ -213,6 +248,8 @@
             return;
         }
         const auto reply = apply(worker, command.order);
+        if (m_guard.handleStartReply(command.worker.id, command.order.run, reply))
+            pause(command.worker.id, command.order.run);
         if (!worker.faults.losesReplies && !worker.faults.losesStartReplies)
             schedule(orderDelay, [answer, reply] { answer(reply); });
         else
@@ -220,6 +257,20 @@
     });
 }
 
+external::observe_reply simulated_fleet::report(const fake_worker& worker) const
+{
+    external::observe_reply reply { external::order_outcome::Accepted, { clockOf(worker), worker.description.incarnation, {}, worker.ended } };
+    for (const auto& [task, run] : worker.running) {
+        const auto left = std::chrono::duration_cast<utils::milliseconds>(run.endsAt - m_now).count();
+        const int servingPercent = m_now < run.startedAt + m_startupTime ? 0 : 100;
+        const int percent = run.isLongRunning ? servingPercent : worker.faults.hangs ? 0
+                                                                                     : static_cast<int>(std::clamp<std::int64_t>(100 - 100 * left / m_batchTime.count(), 0, 99));
+        const std::int64_t load = run.isLongRunning ? (worker.tailLatency ? worker.tailLatency(worker, run.run) : 30) : 2000 * run.pace / 100;
+        reply.workerState.running.push_back({ run.run, "", percent, load, {} });
+    }
+    return reply;
+}
+
 void simulated_fleet::observe(const observe_command& command, std::uint64_t term)
 {
     const auto answer = [this, command, term, sentAt = m_now](const external::observe_reply& reply) {
@@ -230,7 +281,7 @@
         handleReply(
             term, leader_input::Observation, sentAt + orderTimeout + command.order.wait, [handle, reply](bool isLate) { handle(reply, isLate); }, [handle] { handle({ external::order_outcome::NoAnswer, {} }, false); });
     };
-    const auto handleOrder = [this, command, answer, incarnation = m_workers.at(command.worker.id)->description.incarnation] {
+    const auto handleOrder = [this, command, answer, term, incarnation = m_workers.at(command.worker.id)->description.incarnation] {
         auto& worker = *m_workers.at(command.worker.id);
         // The connection was to a process that has ended.
         if (worker.description.incarnation != incarnation) {
@@ -257,20 +308,15 @@
                 m_acknowledgedTasks.insert(end.run.task);
         }
         std::erase_if(worker.ended, [&](const auto& end) { return end.number <= command.order.acknowledgedEnd; });
-        external::observe_reply reply { external::order_outcome::Accepted, { clockOf(worker), worker.description.incarnation, {}, worker.ended } };
-        for (const auto& [task, run] : worker.running) {
-            const auto left = std::chrono::duration_cast<utils::milliseconds>(run.endsAt - m_now).count();
-            const int servingPercent = m_now < run.startedAt + m_startupTime ? 0 : 100;
-            const int percent = run.isLongRunning ? servingPercent : worker.faults.hangs ? 0
-                                                                                         : static_cast<int>(std::clamp<std::int64_t>(100 - 100 * left / m_batchTime.count(), 0, 99));
-            const std::int64_t load = run.isLongRunning ? (worker.tailLatency ? worker.tailLatency(worker, run.run) : 30) : 2000 * run.pace / 100;
-            reply.workerState.running.push_back({ run.run, "", percent, load });
-        }
+        auto reply = report(worker);
         if (worker.faults.losesObserveReplies) {
             schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, {} }); });
             return;
         }
         worker.lastListedEnd = worker.nextEnd - 1;
+        for (const auto& run : command.order.described)
+            m_guard.describeRun(worker.description.id, run, term, m_now);
+        review(worker.description.id, reply, term);
         answer(reply);
     };
     // A worker would answer at the next end of a run or after the wait. Here it answers after at most 100 ms instead.
