--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -202,6 +202,7 @@
     void sampleLatencies(worker_state& worker, utils::time_point now);
     //! \brief Logs service tasks whose latency target is missed for long, and what keeps their worker from a review of its paces.
     void reportMissedTarget(run_state& run, utils::time_point now);
+    void recordReport(worker_state& worker, const external::observe_reply& reply, utils::time_point sentAt, utils::time_point now);
     void orderPace(run_state& run, int percent, utils::time_point now, std::vector<engine_command>& commands);
     void paceBestEffortRuns(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
     void startWaitingTasks(utils::time_point now, std::vector<engine_command>& commands);
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -56,6 +56,14 @@
     m_unconfirmedWorkers.erase(worker.description.id);
 }
 
+void job_engine::recordReport(worker_state& worker, const external::observe_reply& reply, utils::time_point sentAt, utils::time_point now)
+{
+    worker.reportClock = reply.workerState.clock;
+    worker.reportSentAt = sentAt;
+    worker.reportHandledAt = now;
+    worker.needsDescriptions = reply.needsDescriptions;
+}
+
 void job_engine::handleObserveReply(const std::string& workerId, const observe_command& command, const external::observe_reply& reply, utils::time_point sentAt, utils::time_point now)
 {
     const auto found = m_workers.find(workerId);
@@ -105,18 +113,14 @@
     // A report with the time of an earlier one may precede it.
     const bool isNewest = workerState.clock > worker.clock;
     updateClock(worker, workerState.clock, now);
-    if (isInOrder) {
-        worker.reportClock = workerState.clock;
-        worker.reportSentAt = sentAt;
-        worker.reportHandledAt = now;
-    }
+    if (isInOrder)
+        recordReport(worker, reply, sentAt, now);
     if (!worker.hasAcceptedTerm || worker.unansweredObserves > 0)
         reportEvent(engine_event_kind::WorkerSeen, worker, absl::StrCat("running=", workerState.running.size(), " ended=", workerState.ended.size(), " silences=", worker.unansweredObserves));
     worker.unansweredObserves = 0;
     worker.mayHaveRestarted = false;
     worker.answeredAt = now;
     worker.nextObservation = now;
-    worker.needsDescriptions = reply.needsDescriptions;
     resolvePossibleCrash(worker, false, now);
     reviewSuspectRun(worker, now);
     if (!worker.hasAcceptedTerm)
--- a/tests/auto/tasks/tst_guarded_run_control.cpp
+++ b/tests/auto/tasks/tst_guarded_run_control.cpp
@@ -38,13 +38,13 @@
 
     void start(const external::worker_address&, const external::run_order&, std::function<void(external::order_reply)> callback) override
     {
-        m_answers.push_back([this, callback] { callback({ external::order_outcome::Accepted, clock() }); });
+        m_answers.push_back([callback] { callback({ external::order_outcome::Accepted, clock() }); });
     }
     void stop(const external::worker_address&, const external::run_id&, std::uint64_t, std::function<void(external::order_reply)>) override { }
     void pace(const external::worker_address&, const external::run_id& run, int percent, std::uint64_t paceFence, std::function<void(external::order_reply)> callback) override
     {
         paces.push_back({ run, percent, paceFence });
-        m_answers.push_back([this, callback] { callback({ external::order_outcome::Accepted, clock() }); });
+        m_answers.push_back([callback] { callback({ external::order_outcome::Accepted, clock() }); });
     }
     void observe(const external::worker_address&, const external::observe_order& order, std::function<void(external::observe_reply)> callback) override
     {
