Jobs, coordinator: Store the ends of jobs first, and changes in their order

Cause: the leader took the 64 changed jobs with the lowest ids for each decision, put those that were just being stored back, and had three transactions of 15 writes under way at most. When its loop is late, so are the store's replies, and 45 writes a round trip are fewer than the jobs that change: those with low ids were stored again and again, the others waited. Their ends weren't acknowledged, so that workers listed them in each report, which made the loop later. Class of the fault: a queue in the order of its keys, which starves what sorts last.

Ended jobs are now stored first, the others in the order of their changes; a job that is being stored doesn't take a turn; what waits collects further changes, and up to twelve transactions are under way.

--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_engine.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "jobs/crash_suspicion.h"
@@ -239,7 +240,16 @@
 void job_engine::markChanged(job_state& job)
 {
     ++job.version;
-    m_changedJobs.insert(job.spec.id);
+    queueForStorage(job);
+}
+
+// The end of a job is stored before the progress of others, since callers wait for it.
+void job_engine::queueForStorage(job_state& job)
+{
+    auto& queued = isFinal(job.phase) ? job.isEndQueuedForStorage : job.isQueuedForStorage;
+    if (job.isBeingStored || std::exchange(queued, true))
+        return;
+    (isFinal(job.phase) ? m_endedJobs : m_changedJobs).push_back(job.spec.id);
 }
 
 void job_engine::cancel(const std::string& id, utils::time_point now)
@@ -311,14 +321,22 @@
 std::vector<progress_write> job_engine::takeProgressWrites(std::size_t limit)
 {
     std::vector<progress_write> writes;
-    for (const auto& id : m_changedJobs) {
-        if (writes.size() >= limit)
-            break;
-        auto& job = *m_jobs.at(id);
-        writes.push_back({ id, encodeProgress(progressOf(job)), job.version });
+    for (auto* queue : { &m_endedJobs, &m_changedJobs }) {
+        while (!queue->empty() && writes.size() < limit) {
+            const auto found = m_jobs.find(queue->front());
+            queue->pop_front();
+            if (found == m_jobs.end())
+                continue;
+            auto& job = *found->second;
+            // A job that ended while it was queued stands in both queues.
+            auto& queued = queue == &m_endedJobs ? job.isEndQueuedForStorage : job.isQueuedForStorage;
+            queued = false;
+            if (job.isBeingStored)
+                continue;
+            job.isBeingStored = true;
+            writes.push_back({ job.spec.id, encodeProgress(progressOf(job)), job.version });
+        }
     }
-    for (const auto& write : writes)
-        m_changedJobs.erase(write.job);
     return writes;
 }
 
@@ -327,7 +345,11 @@
     const auto found = m_jobs.find(job);
     if (found == m_jobs.end())
         return;
-    found->second->storedVersion = std::max(found->second->storedVersion, version);
+    auto& stored = *found->second;
+    stored.storedVersion = std::max(stored.storedVersion, version);
+    stored.isBeingStored = false;
+    if (stored.storedVersion < stored.version)
+        queueForStorage(stored);
     auto& workers = found->second->workersWithUnstoredEnds;
     for (auto* worker : workers)
         acknowledgeEnds(*worker);
@@ -338,8 +360,11 @@
 
 void job_engine::requeueProgressWrite(const std::string& job)
 {
-    if (m_jobs.contains(job))
-        m_changedJobs.insert(job);
+    const auto found = m_jobs.find(job);
+    if (found == m_jobs.end())
+        return;
+    found->second->isBeingStored = false;
+    queueForStorage(*found->second);
 }
 
 bool job_engine::belongsOnRoster(const worker_state& worker) const
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -145,6 +146,7 @@
     //! How a worker lost its runs.
     enum class worker_loss {
         //! Another worker answers at its address.
+    void queueForStorage(job_state& job);
         Replaced,
         //! Another process of the same worker answers, which may execute starts that were ordered before.
         Restarted,
@@ -260,8 +262,10 @@
     std::vector<worker_state*> m_workerList;
     //! Jobs that have not ended, in order of acceptance.
     std::vector<job_state*> m_activeJobs;
-    //! Jobs whose progress has to be stored.
-    std::set<std::string> m_changedJobs;
+    //! Jobs whose progress has to be stored, in the order of their changes.
+    std::deque<std::string> m_changedJobs;
+    //! The same of jobs that have ended.
+    std::deque<std::string> m_endedJobs;
     std::vector<worker_state*> m_workersQueuedForOrders;
     std::vector<roster_worker> m_storedRoster;
     //! Workers that may execute runs of a former leader and haven't answered this one, with the time by which such runs
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -148,6 +148,10 @@
     utils::time_point acceptedAt;
     utils::time_point endedAt;
     //! Version of the progress, incremented by each change that must be stored, and the version in the store.
+    //! A write of its progress has no outcome yet; a later change is written after that.
+    bool isBeingStored = false;
+    bool isQueuedForStorage = false;
+    bool isEndQueuedForStorage = false;
     std::uint64_t version = 0;
     std::uint64_t storedVersion = 0;
     bool isCancelStored = false;
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -24,7 +24,6 @@
     constexpr utils::milliseconds learnedWriteInterval { 2000 };
     // Without the stored roster the next leader only waits longer.
     constexpr utils::milliseconds handOverTimeout { 400 };
-    constexpr std::size_t maximumProgressWrites = 64;
     constexpr std::size_t maximumErasedJobs = 32;
     // Writes of the leader itself are retried until it is deposed; writes for a caller end with the caller's timeout.
     constexpr utils::milliseconds leaderWriteTimeout { 600'000 };
@@ -378,14 +377,9 @@
 void leader_term::writePendingProgress()
 {
     const auto deadline = utils::nowIncludingSuspend() + leaderWriteTimeout;
-    for (auto& write : m_engine.takeProgressWrites(maximumProgressWrites)) {
-        if (m_jobsBeingStored.contains(write.job)) {
-            m_engine.requeueProgressWrite(write.job);
-            continue;
-        }
-        m_jobsBeingStored.insert(write.job);
+    // What waits in the engine is written together with later changes.
+    for (auto& write : m_engine.takeProgressWrites(m_writer.freeCapacity())) {
         m_writer.enqueue({ store_keys::progress(write.job), write.value, m_progressVersions[write.job], deadline, false, [this, job = write.job, version = write.version](write_outcome outcome, external::revision at, const external::key_value* present) {
-                              m_jobsBeingStored.erase(job);
                               switch (outcome) {
                               case write_outcome::Committed:
                                   m_progressVersions[job] = at;
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -98,7 +98,6 @@
     //! Version of the stored progress by job id.
     std::map<std::string, external::revision> m_progressVersions;
     //! Ids of jobs whose progress is being written to the store.
-    std::set<std::string> m_jobsBeingStored;
     external::revision m_rosterVersion = 0;
     bool m_isStoringRoster = false;
     external::revision m_learnedVersion = 0;
--- a/src/tasks/coordinator/leader_writer.cpp
+++ b/src/tasks/coordinator/leader_writer.cpp
@@ -12,8 +12,8 @@
     // Time to collect writes; the progress of a step's tasks that end together fits into about one transaction.
     constexpr utils::milliseconds batchingDelay { 25 };
     constexpr utils::milliseconds retryDelay { 150 };
-    // More concurrent transactions bring no gain while the store replies within milliseconds.
-    constexpr std::size_t maximumInFlightTransactions = 3;
+    // The store replies within milliseconds, but a leader with a full processor handles replies late.
+    constexpr std::size_t maximumInFlightTransactions = 12;
 
 } // namespace
 
@@ -33,6 +33,12 @@
     return (m_store.entryLimit() - 1) / 2;
 }
 
+std::size_t leader_writer::freeCapacity() const
+{
+    const auto capacity = maximumInFlightTransactions * maximumBatchSize();
+    return capacity - std::min(capacity, m_ordinaryWrites.size() + m_urgentWrites.size());
+}
+
 bool leader_writer::isStoreFailing() const
 {
     return m_isStoreFailing;
--- a/src/tasks/coordinator/leader_writer.h
+++ b/src/tasks/coordinator/leader_writer.h
@@ -56,6 +56,8 @@
     //! \brief Ends all queued and in-flight writes because the leader's term is over: in-flight writes and those that may
     //! have taken effect as Indeterminate, the others as Deposed.
     void abandonAll();
+    //! \brief Number of further ordinary writes that will be sent without a long wait.
+    std::size_t freeCapacity() const;
     //! \brief Whether the last transaction was refused or got no reply.
     bool isStoreFailing() const;
 
