Jobs: Evaluate the fleet once for all tasks of an image and size

Profile of the leader in the middle of mix (1,043 samples): chooseWorker 41% of its processor time, half of it for best-effort runs that are paced down and look for a better worker four times a second each, half for waiting tasks that have left a worker before, which evaluated the whole fleet for each task instead of each step.

- Crawling runs of one image and size share one search in each review, at most 32 searches a review; each place that is found is offered to one run.
The next review begins where the searches of the last one ended.
- A failed search of a best-effort step counts for 50 ms for all steps of its image and mode, not only in its own round.
- Tasks that avoid a worker choose among the candidates of their step.
- Messages of relays are parsed on an arena, and replies to starts no longer carry a copy of the order.

--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -119,12 +119,34 @@
         model::resources free;
     };
     class worker_search;
+    //! What a search for a worker depends on, beside the workers.
+    struct place_search {
+        model::resources taskResources;
+        image_index image = 0;
+        std::string service;
+        std::string label;
+        bool isBestEffort = false;
+        bool isLongRunning = false;
+        bool isStrict = false;
+        //! Until when the outcome of a failed search is kept for best-effort tasks.
+        utils::time_point validUntil;
+    };
+
+    //! Worker to which a best-effort run of an image and size may move; nullptr if there is none or it is taken.
+    struct move_target {
+        model::resources taskResources;
+        image_index image = 0;
+        std::string service;
+        std::string label;
+        const worker_state* worker = nullptr;
+    };
 
     // Jobs.
     job_state& insertJob(const job_spec& job, utils::time_point now);
     void updateStepReadiness(job_state& job, utils::time_point now);
     void endJob(job_state& job, job_phase phase, utils::time_point now, const std::string& reason);
     void markChanged(job_state& job);
+    void queueForStorage(job_state& job);
     void stopRuns(job_state& job, utils::time_point now, const std::string& reason);
     job_progress progressOf(const job_state& job) const;
     const queue_rules* rulesOf(const job_state& job) const;
@@ -146,7 +168,6 @@
     //! How a worker lost its runs.
     enum class worker_loss {
         //! Another worker answers at its address.
-    void queueForStorage(job_state& job);
         Replaced,
         //! Another process of the same worker answers, which may execute starts that were ordered before.
         Restarted,
@@ -181,6 +202,7 @@
     //! \brief Returns the reported run, or nullptr if the engine doesn't track it. \a isNewest if no reply of the process has an
     //! equal or later time.
     run_state* handleRunReport(worker_state& worker, const external::run_report& report, bool isNewest, utils::time_point now);
+    void recordReport(worker_state& worker, const external::observe_reply& reply, utils::time_point sentAt, utils::time_point now);
     void adoptPace(run_state& run, std::optional<int> pace, utils::time_point now);
     std::vector<external::described_run> describeRuns(const worker_state& worker) const;
     void handleMissingRun(run_state& run, utils::time_point sentAt, utils::time_point now);
@@ -197,19 +219,21 @@
     void handleStalledRuns(utils::time_point now);
     //! \brief Reason to stop a run on its worker, or nullopt.
     std::optional<std::string> longRunningFailureReason(const run_state& run, utils::time_point now) const;
-    std::optional<std::string> bestEffortStallReason(run_state& run, task_state& task, utils::time_point now);
+    std::optional<std::string> bestEffortStallReason(const run_state& run, utils::time_point now) const;
+    //! \brief Stops a best-effort run that is paced down, if another worker has an idle place for it.
+    void moveCrawlingRun(run_state& run, task_state& task, utils::time_point now);
     std::optional<std::string> batchStallReason(const run_state& run, utils::time_point now) const;
     //! \brief Duration, in ms, of the other tasks of a run's step; nullopt if too few of them have made progress.
     std::optional<double> siblingDuration(const run_state& run) const;
     void sampleLatencies(worker_state& worker, utils::time_point now);
     //! \brief Logs service tasks whose latency target is missed for long, and what keeps their worker from a review of its paces.
     void reportMissedTarget(run_state& run, utils::time_point now);
-    void recordReport(worker_state& worker, const external::observe_reply& reply, utils::time_point sentAt, utils::time_point now);
     void orderPace(run_state& run, int percent, utils::time_point now, std::vector<engine_command>& commands);
     void paceBestEffortRuns(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
     void startWaitingTasks(utils::time_point now, std::vector<engine_command>& commands);
     void startReservedTask(job_state& job, unsigned step, unsigned index, utils::time_point now, std::vector<engine_command>& commands);
     void startTask(job_state& job, unsigned step, unsigned index, worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
+    bool hasSearchFailed(const place_search& wanted) const;
     //! \brief Steps with tasks that may wait for a start, in the order of their starts.
     std::vector<waiting_step> waitingSteps(utils::time_point now) const;
     bool isWaiting(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const;
@@ -221,6 +245,9 @@
     };
     //! Lower is better; nullopt for a worker that may not get a task of the step.
     std::optional<double> costOf(const worker_state& worker, const job_state& job, unsigned step, utils::time_point now, placement_mode mode) const;
+    //! \brief Whether the worker may not get the task, because it has a run of it or the task has just left it.
+    bool isExcluded(const task_state& task, const worker_state& worker, utils::time_point now) const;
+    double avoidanceCost(const task_state& task, const worker_state& worker) const;
     worker_state* chooseWorker(const job_state& job, unsigned step, const task_state& task, utils::time_point now, placement_mode mode) const;
     worker_state* chooseWorkerForSuspect(const job_state& job, unsigned step, bool isIsolated, utils::time_point now, placement_mode mode) const;
     //! \brief Starts a task that is suspected of crashing workers; returns its worker, or nullptr if it has to wait.
@@ -237,7 +264,8 @@
     void releaseReservation(job_state& job, unsigned step, task_state& task);
     void releaseExpiredReservations(utils::time_point now);
     bool mayPlaceIgnoringResources(const worker_state& worker, const step_spec& step, utils::time_point now) const;
-    bool hasBetterWorker(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const;
+    //! \brief Whether the run may move to a worker on which it isn't slowed down.
+    bool takeBetterWorker(const run_state& run, const task_state& task, utils::time_point now);
     //! \brief Has the next decision check which orders and observations the worker needs.
     void queueForOrders(worker_state& worker);
     void appendOrders(utils::time_point now, std::vector<engine_command>& commands);
@@ -293,6 +321,11 @@
     std::uint64_t m_orderChecks = 0;
     //! Whether anything changed that may let a waiting task start.
     bool m_mayStartTasks = true;
+    std::vector<place_search> m_failedSearches;
+    //! Found in the present review of stalled runs.
+    std::vector<move_target> m_moveTargets;
+    //! Active job with which the next review of stalled runs begins.
+    std::size_t m_moveReviewOffset = 0;
     //! Mean duration of each queue's runs divided by the callers' estimate.
     std::map<std::string, double> m_durationRatios;
 };
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -17,6 +17,8 @@
     // Interval between searches for a best-effort task that fits nowhere. Reports, which are half a second apart, decide
     // whether it fits.
     constexpr utils::milliseconds bestEffortSearchInterval { 50 };
+    // Limits the processor time that moves of crawling runs take; each search evaluates the whole fleet.
+    constexpr std::size_t moveSearchesPerReview = 32;
     // A best-effort task waits this long for a worker on which all service tasks keep their latency targets, before it
     // takes the one with the least interference.
     constexpr utils::milliseconds strictPlacementTimeout { 1500 };
@@ -211,20 +213,27 @@
     return placementCost(worker, spec, image, m_interference) + blockedDemandCost(worker, spec, image);
 }
 
+bool job_engine::isExcluded(const task_state& task, const worker_state& worker, utils::time_point now) const
+{
+    return (&worker == task.leftWorker && now < task.leftWorkerAvoidedUntil) || std::ranges::any_of(task.runs, [&](const auto& run) { return run->worker == &worker; });
+}
+
+double job_engine::avoidanceCost(const task_state& task, const worker_state& worker) const
+{
+    return std::ranges::find(task.avoidedWorkers, worker.description.id) != task.avoidedWorkers.end() ? avoidedWorkerCost : 0;
+}
+
 worker_state* job_engine::chooseWorker(const job_state& job, unsigned step, const task_state& task, utils::time_point now, placement_mode mode) const
 {
     worker_state* best = nullptr;
     double bestCost = 0;
     for (auto* candidate : m_workerList) {
-        if (candidate == task.leftWorker && now < task.leftWorkerAvoidedUntil)
-            continue;
-        if (std::ranges::any_of(task.runs, [&](const auto& run) { return run->worker == candidate; }))
+        if (isExcluded(task, *candidate, now))
             continue;
         auto cost = costOf(*candidate, job, step, now, mode);
         if (!cost)
             continue;
-        if (std::ranges::find(task.avoidedWorkers, candidate->description.id) != task.avoidedWorkers.end())
-            *cost += avoidedWorkerCost;
+        *cost += avoidanceCost(task, *candidate);
         if (best == nullptr || *cost < bestCost) {
             best = candidate;
             bestCost = *cost;
@@ -233,10 +242,29 @@
     return best;
 }
 
-bool job_engine::hasBetterWorker(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const
+// Evaluates the fleet once for all runs of an image and size, and offers each place to one of them.
+bool job_engine::takeBetterWorker(const run_state& run, const task_state& task, utils::time_point now)
 {
-    const auto* other = chooseWorker(job, step, task, now, placement_mode::Strict);
-    return other != nullptr && idleProcessors(*other) >= job.spec.steps[step].taskResources.processors;
+    const auto& spec = run.job->spec.steps[run.step];
+    auto target = std::ranges::find_if(m_moveTargets, [&](const move_target& known) {
+        return known.image == run.image && known.taskResources == spec.taskResources && known.service == run.job->spec.service && known.label == spec.label;
+    });
+    if (target == m_moveTargets.end()) {
+        if (m_moveTargets.size() >= moveSearchesPerReview)
+            return false;
+        auto* best = chooseWorker(*run.job, run.step, {}, now, placement_mode::Strict);
+        if (best != nullptr && idleProcessors(*best) < spec.taskResources.processors)
+            best = nullptr;
+        m_moveTargets.push_back({ spec.taskResources, run.image, run.job->spec.service, spec.label, best });
+        target = std::prev(m_moveTargets.end());
+    }
+    if (target->worker == nullptr || target->worker == run.worker)
+        return false;
+    const auto& worker = *target->worker;
+    if (isExcluded(task, worker, now) || avoidanceCost(task, worker) > 0 || !costOf(worker, *run.job, run.step, now, placement_mode::Strict))
+        return false;
+    target->worker = nullptr;
+    return true;
 }
 
 utils::time_point job_engine::cachedDeadline(job_state& job, utils::time_point now) const
@@ -248,29 +276,16 @@
     return job.deadline;
 }
 
-namespace {
-
-    //! A search that found no worker in this round. Searches for the same or more resources under the same constraints
-    //! would fail too.
-    struct failed_search {
-        const step_spec* step;
-        image_index image;
-        const std::string* service;
-        bool isStrict;
-    };
-
-    bool hasFailedBefore(const std::vector<failed_search>& failed, const failed_search& wanted)
-    {
-        return std::ranges::any_of(failed, [&](const failed_search& search) {
-            const auto& step = *search.step;
-            // Only best-effort tasks are kept away from workers because of their image.
-            const bool isSameImage = !step.isBestEffort || search.image == wanted.image;
-            return search.isStrict == wanted.isStrict && isSameImage && step.isBestEffort == wanted.step->isBestEffort && step.isLongRunning == wanted.step->isLongRunning
-                && step.label == wanted.step->label && *search.service == *wanted.service && step.taskResources.fitsIn(wanted.step->taskResources);
-        });
-    }
-
-} // namespace
+// Searches for the same or more resources under the same constraints would fail too.
+bool job_engine::hasSearchFailed(const place_search& wanted) const
+{
+    return std::ranges::any_of(m_failedSearches, [&](const place_search& search) {
+        // Only best-effort tasks are kept away from workers because of their image.
+        const bool isSameImage = !search.isBestEffort || search.image == wanted.image;
+        return search.isStrict == wanted.isStrict && isSameImage && search.isBestEffort == wanted.isBestEffort && search.isLongRunning == wanted.isLongRunning
+            && search.label == wanted.label && search.service == wanted.service && search.taskResources.fitsIn(wanted.taskResources);
+    });
+}
 
 //! Finds workers for the tasks of a step in order of increasing cost. A start changes the cost of its own worker only,
 //! so the fleet is evaluated once per step instead of once per task.
@@ -287,12 +302,20 @@
 
     worker_state* nextWorker(const task_state& task, placement_mode mode)
     {
-        const bool hasNoExclusions = task.runs.empty() && task.avoidedWorkers.empty() && (task.leftWorker == nullptr || m_now >= task.leftWorkerAvoidedUntil);
-        if (!hasNoExclusions)
-            return m_engine.chooseWorker(m_job, m_step, task, m_now, mode);
         if (mode != m_mode)
             evaluateWorkers(mode);
-        return m_candidates.empty() ? nullptr : m_candidates.front().worker;
+        const bool hasNoExclusions = task.runs.empty() && task.avoidedWorkers.empty() && (task.leftWorker == nullptr || m_now >= task.leftWorkerAvoidedUntil);
+        if (hasNoExclusions)
+            return m_candidates.empty() ? nullptr : m_candidates.front().worker;
+        std::optional<candidate> best;
+        for (const auto& known : m_candidates) {
+            if (m_engine.isExcluded(task, *known.worker, m_now))
+                continue;
+            const candidate adapted { known.cost + m_engine.avoidanceCost(task, *known.worker), known.worker };
+            if (!best || isWorse(*best, adapted))
+                best = adapted;
+        }
+        return best ? best->worker : nullptr;
     }
 
     //! Evaluates a worker again after a task was started on it.
@@ -358,7 +381,8 @@
         if (worker->isOnRoster && isOpenForTasks(*worker, m_settings, now))
             openWorkers.push_back({ worker, worker->description.capacity - worker->allocated });
     }
-    std::vector<failed_search> failed;
+    // The end of any run may let another task start.
+    std::erase_if(m_failedSearches, [&](const place_search& search) { return !search.isBestEffort || now >= search.validUntil; });
     for (const auto& waiting : waitingNow) {
         auto& job = *waiting.job;
         const auto& spec = job.spec.steps[waiting.step];
@@ -381,15 +405,15 @@
                 search.updateCost(held);
                 continue;
             }
-            const failed_search wanted { &spec, job.steps[waiting.step].image, &job.spec.service, isStrict };
-            if (hasFailedBefore(failed, wanted))
+            place_search wanted { spec.taskResources, job.steps[waiting.step].image, job.spec.service, spec.label, spec.isBestEffort, spec.isLongRunning, isStrict, now + bestEffortSearchInterval };
+            if (hasSearchFailed(wanted))
                 break;
             auto* worker = search.nextWorker(task, mode);
             if (worker == nullptr) {
                 if (spec.isBestEffort)
-                    job.steps[waiting.step].searchNotBefore = now + bestEffortSearchInterval;
-                if (spec.maximumTasksPerWorker == 0 && task.runs.empty())
-                    failed.push_back(wanted);
+                    job.steps[waiting.step].searchNotBefore = wanted.validUntil;
+                if (spec.maximumTasksPerWorker == 0 && task.runs.empty() && task.leftWorker == nullptr)
+                    m_failedSearches.push_back(std::move(wanted));
                 break;
             }
             startTask(job, waiting.step, index, *worker, now, commands);
--- a/src/libs/jobs/job_engine_stalls.cpp
+++ b/src/libs/jobs/job_engine_stalls.cpp
@@ -19,8 +19,6 @@
     // work would be lost.
     constexpr int crawlingPacePercent = 25;
     constexpr utils::milliseconds crawlingTimeout { 900 };
-    // A search evaluates all workers, whose state changes only with their reports, half a second apart.
-    constexpr utils::milliseconds workerSearchInterval { 250 };
     // A run without checkpoints is moved only below this progress.
     constexpr int restartPercentLimit = 30;
     constexpr utils::milliseconds leftWorkerAvoidanceTime { 4000 };
@@ -54,7 +52,12 @@
 
 void job_engine::handleStalledRuns(utils::time_point now)
 {
-    for (auto* job : m_activeJobs) {
+    m_moveTargets.clear();
+    // Each review begins where the searches of the last one ended.
+    const std::size_t first = m_moveReviewOffset;
+    for (std::size_t position = 0; position < m_activeJobs.size(); ++position) {
+        auto* job = m_activeJobs[(first + position) % m_activeJobs.size()];
+        const auto searchesBefore = m_moveTargets.size();
         for (unsigned number = 0; number < job->steps.size(); ++number) {
             auto& step = job->steps[number];
             if (!step.isReady || step.doneCount == step.tasks.size())
@@ -64,7 +67,12 @@
                     continue;
                 auto& run = *task.runs.front();
                 const auto& spec = job->spec.steps[number];
-                const auto reason = spec.isLongRunning ? longRunningFailureReason(run, now) : spec.isBestEffort ? bestEffortStallReason(run, task, now)
+                if (spec.isBestEffort) {
+                    moveCrawlingRun(run, task, now);
+                    if (run.phase != run_phase::Running)
+                        continue;
+                }
+                const auto reason = spec.isLongRunning ? longRunningFailureReason(run, now) : spec.isBestEffort ? bestEffortStallReason(run, now)
                                                                                                                 : batchStallReason(run, now);
                 if (!reason)
                     continue;
@@ -74,6 +82,8 @@
                     stopRun(run, now, *reason);
             }
         }
+        if (m_moveTargets.size() > searchesBefore)
+            m_moveReviewOffset = (first + position + 1) % m_activeJobs.size();
     }
 }
 
@@ -84,21 +94,21 @@
     return absl::StrCat("it did not start serving in time", describeReport(run, now));
 }
 
-std::optional<std::string> job_engine::bestEffortStallReason(run_state& run, task_state& task, utils::time_point now)
+void job_engine::moveCrawlingRun(run_state& run, task_state& task, utils::time_point now)
 {
     const auto& spec = run.job->spec.steps[run.step];
     const bool mayMove = spec.hasCheckpoints || run.percent < restartPercentLimit;
     const bool isCrawling = run.pace <= crawlingPacePercent && now - run.paceChangedAt > crawlingTimeout;
-    if (isCrawling && mayMove && now >= run.workerSearchedAt + workerSearchInterval) {
-        run.workerSearchedAt = now;
-        if (hasBetterWorker(*run.job, run.step, task, now)) {
-            // The worker isn't at fault, but its service tasks would slow the run down again.
-            task.leftWorker = run.worker;
-            task.leftWorkerAvoidedUntil = now + leftWorkerAvoidanceTime;
-            stopRun(run, now, absl::StrCat("it is limited to pace ", run.pace, " at ", run.percent, "% progress"));
-            return std::nullopt;
-        }
-    }
+    if (!isCrawling || !mayMove || !takeBetterWorker(run, task, now))
+        return;
+    // The worker isn't at fault, but its service tasks would slow the run down again.
+    task.leftWorker = run.worker;
+    task.leftWorkerAvoidedUntil = now + leftWorkerAvoidanceTime;
+    stopRun(run, now, absl::StrCat("it is limited to pace ", run.pace, " at ", run.percent, "% progress"));
+}
+
+std::optional<std::string> job_engine::bestEffortStallReason(const run_state& run, utils::time_point now) const
+{
     const utils::milliseconds withoutProgress(run.worker->reportClock - std::max({ run.startClock, run.progressClock, run.paceClock }));
     const bool isStalled = run.startClock != 0 && run.pace > 0 && hasRecentReport(*run.worker, now) && withoutProgress > bestEffortStallTimeout;
     return isStalled ? std::optional(absl::StrCat("it makes no progress at ", run.percent, "%", describeReport(run, now))) : std::nullopt;
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -62,8 +62,6 @@
     //! The worker's clock when it changed the pace last.
     external::worker_time paceClock = 0;
     bool isPaceOrderPending = false;
-    //! When the last search for a better worker took place.
-    utils::time_point workerSearchedAt;
     //! Share of the best-effort demand on its worker that a service task's move away unblocks, at the last rebalancing.
     double gainOfLeaving = 0;
     //! Last latency sample of a service task.
@@ -148,12 +146,12 @@
     utils::time_point acceptedAt;
     utils::time_point endedAt;
     //! Version of the progress, incremented by each change that must be stored, and the version in the store.
+    std::uint64_t version = 0;
+    std::uint64_t storedVersion = 0;
     //! A write of its progress has no outcome yet; a later change is written after that.
     bool isBeingStored = false;
     bool isQueuedForStorage = false;
     bool isEndQueuedForStorage = false;
-    std::uint64_t version = 0;
-    std::uint64_t storedVersion = 0;
     bool isCancelStored = false;
     //! When the first task was reported as started in this term; the epoch before.
     utils::time_point firstStartAt;
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -173,7 +173,9 @@
 
 void coordinator_task::onPeerMessage(zmq::message_t raw)
 {
-    protocol::CoordinatorEnvelope envelope;
+    // A message of a relay holds thousands of parts.
+    google::protobuf::Arena arena;
+    auto& envelope = *google::protobuf::Arena::CreateMessage<protocol::CoordinatorEnvelope>(&arena);
     if (!envelope.ParseFromArray(raw.data(), static_cast<int>(raw.size()))) {
         utils::logEvent(utils::events::peerMessageDropped, { { "reason", "unreadable" }, { "bytes", std::to_string(raw.size()) } });
         return;
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -336,11 +336,11 @@
     const auto fence = m_election.term();
     std::visit(utils::overloaded {
                    [&](const jobs::start_command& start) {
-                       m_runControl.start(start.worker, start.order, [this, self, start, sentAt](const external::order_reply& reply) {
+                       m_runControl.start(start.worker, start.order, [this, self, worker = start.worker.id, run = start.order.run, sentAt](const external::order_reply& reply) {
                            const auto guard = self.lock();
                            if (!guard)
                                return;
-                           m_engine.handleStartReply(start.worker.id, start.order.run, reply, sentAt, utils::nowIncludingSuspend());
+                           m_engine.handleStartReply(worker, run, reply, sentAt, utils::nowIncludingSuspend());
                            scheduleDecisions();
                        });
                    },
