--- a/tests/auto/tasks/tst_odd_peer_messages.cpp
+++ b/tests/auto/tasks/tst_odd_peer_messages.cpp
@@ -103,9 +103,36 @@
                                          } },
         odd_message<protocol::RunReply> { "negativeLoad", [](auto& reply) {
                                              reply.mutable_running(0)->set_load(-1);
+                                         } },
+        odd_message<protocol::RunReply> { "paceAboveHundred", [](auto& reply) {
+                                             reply.mutable_running(0)->set_pace(101);
+                                         } },
+        odd_message<protocol::RunReply> { "negativePace", [](auto& reply) {
+                                             reply.mutable_running(0)->set_pace(-1);
                                          } }),
     nameOf);
 
+struct odd_target_case {
+    const char* name;
+    std::int64_t targetMilliseconds;
+    std::int64_t readMilliseconds;
+};
+
+class odd_target : public testing::TestWithParam<odd_target_case> {
+};
+
+INSTANTIATE_TEST_SUITE_P(Targets, odd_target,
+    testing::Values(odd_target_case { "sound", 150, 150 }, odd_target_case { "largest", largest, 0 }, odd_target_case { "negative", -1, 0 }),
+    nameOf);
+
+TEST_P(odd_target, OutOfBoundsCountsAsNone)
+{
+    protocol::RunTraits traits;
+    traits.set_target_ms(GetParam().targetMilliseconds);
+    traits.set_best_effort(true);
+    EXPECT_EQ(readTraits(traits), (external::run_traits { utils::milliseconds(GetParam().readMilliseconds), true }));
+}
+
 TEST_P(odd_report, IsMalformed)
 {
     external::observe_reply report { external::order_outcome::Accepted, { 7, 3, { { { { "job", 0, 0, 1 }, 1 }, "", 40, 12 } }, {} } };
