--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -68,8 +68,12 @@
         return m_items.contains(key);
     }
 
-    //! Called with each executed transaction, while the store is locked.
-    std::function<void(const json& transaction)> onTransaction;
+    //! \a listener is called with each executed transaction, while the store is locked.
+    void setTransactionListener(std::function<void(const json& transaction)> listener)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_onTransaction = std::move(listener);
+    }
 
 private:
     struct item {
@@ -232,8 +236,8 @@
             write(row["Key"], row["Value"], row.value("Lease", std::uint64_t(0)));
         for (const auto& key : change["Remove"])
             erase(key);
-        if (onTransaction)
-            onTransaction(change);
+        if (m_onTransaction)
+            m_onTransaction(change);
         if (std::uniform_real_distribution<double>()(m_random) < lostShare)
             return { lostAnswer, {} };
         return { 200, json { { "Revision", m_revision } }.dump() };
@@ -247,6 +251,7 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_lastLease = 100;
     std::mt19937 m_random { 1 };
+    std::function<void(const json& transaction)> m_onTransaction;
     http_server m_server;
 };
 
