--- a/review/standins/scenarios.cpp
+++ b/review/standins/scenarios.cpp
@@ -297,7 +297,9 @@
     constexpr int crashCount = 5;
     constexpr std::int64_t downMs = 3'000;
     constexpr std::int64_t calmMs = 9'000;
-    system.configure(1, { {} });
+    queue ours;
+    ours.maxAttempts = 6;
+    system.configure(1, { ours });
     for (int number = 0; number < minionCount; ++number)
         system.addMinion([](const auto&, auto) { return run_plan { 0, "" }; });
     system.startAll();
@@ -378,39 +380,45 @@
     finish(system, exitRuleHeld, "all " + std::to_string(accepted.size()) + " accepted jobs ran");
 }
 
-//! A late start reaches the next process of its minion and prolongs the lease there; then the minion is cut off.
+//! A late start reaches the next process of its minion and prolongs the lease there; then the minion is cut off. One minion of
+//! eight crashes, and one of nine is cut off.
 void lateStartAfterRestart(deployment& system)
 {
+    constexpr unsigned minionCount = 8;
     constexpr std::int64_t lateMs = 8'000;
     constexpr std::int64_t downMs = 500;
-    constexpr std::int64_t cutMs = 9'000;
+    constexpr std::int64_t cutMs = 5'500;
     system.maxHoldMs = 10'000;
     system.configure(1, { {} });
-    system.addMinion([](const auto&, auto) { return run_plan { 0, "" }; });
+    const auto lasts = [](const auto&, auto) {
+        return run_plan { 0, "" };
+    };
+    for (unsigned number = 0; number < minionCount; ++number)
+        system.addMinion(lasts);
     system.startAll();
     awaitLeader(system);
     auto& first = *system.minions.front();
-    const auto body = jobBody({ { "Count", 3 }, { "Cpu", 1000 }, { "MemMb", 256 }, { "EstimateMs", 320 }, { "LongRunning", true } });
     if (hasTrouble())
         first.startDelayMs = lateMs;
-    const auto path = prefix + jobId(1);
     const auto submittedAt = nowMs();
-    if (system.call(0, "POST", path, body).status != 200)
+    const json step { { "Count", minionCount }, { "Cpu", 13'000 }, { "MemMb", 26'000 }, { "EstimateMs", 320 }, { "LongRunning", true }, { "AntiAffinity", 1 } };
+    if (system.call(0, "POST", prefix + jobId(1), jobBody(step)).status != 200)
         finish(system, exitNotRun, "the job wasn't accepted");
     sleepMs(100);
     if (hasTrouble())
         first.crash(downMs);
     first.startDelayMs = 0;
-    if (!deployment::waitFor(lateMs - 1'000, [&] { return first.isRunning(jobId(1) + ".0.0.0") && first.isRunning(jobId(1) + ".0.0.1") && first.isRunning(jobId(1) + ".0.0.2"); }))
-        finish(system, exitNotRun, "the tasks weren't started again");
-    system.addMinion([](const auto&, auto) { return run_plan { 0, "" }; });
+    if (!deployment::waitFor(lateMs - 1'000, [&] { return std::ranges::all_of(system.minions, [](const auto& known) { return known->isRunning(jobId(1)); }); }))
+        finish(system, exitNotRun, "the task wasn't started again");
+    system.addMinion(lasts);
     sleepMs(submittedAt + lateMs + 150 - nowMs());
     if (hasTrouble()) {
-        system.log.note("minion is cut off");
+        system.log.note("minion i-1000 is cut off and runs on");
         first.isCutOff = true;
     }
     sleepMs(cutMs);
     first.isCutOff = false;
+    system.log.note("the cut has healed");
     sleepMs(3'000);
     const auto beside = runsBesideEachOther(system.history);
     if (!beside.empty())
