Stores: Never let the transport repeat a conditional change

Cause: libcurl sends a request again by itself when a reused connection breaks before the first byte of the response. A change with a condition isn't repeatable: the second execution meets the effect of the first and is answered with a conflict, or the repetition is refused with 503 although the change was executed. leader_writer compares values only after an unanswered attempt of its own, so that it took its own write for another writer's, and its callers a success for a refusal.

A broken connection makes the outcome unknown, which each caller handles already. Reads, listings, watches and lease calls are repeated as before: they have the same effect and reply twice.

Ruled out: a former leader that erased entries (its transactions expect its own leader key); the writer's own retries, which settle an erasure whose key is gone as their own.

--- a/src/libs/external/http_key_value_store.cpp
+++ b/src/libs/external/http_key_value_store.cpp
@@ -86,6 +86,7 @@
 void http_key_value_store::send(store_call kind, transport::http_call call, std::string step, std::function<void(absl::StatusOr<transport::http_result>)> callback)
 {
     m_calls.count(kind);
+    call.isSentAtMostOnce = !isRepeatable(kind);
     m_client.start(std::move(call), [this, step = std::move(step), callback = std::move(callback)](transport::http_result result) {
         if (!result.status.ok()) {
             callback(utils::makeError(result.status.code(), step, m_peer, result.status.message()));
--- a/src/libs/external/store_call.h
+++ b/src/libs/external/store_call.h
@@ -20,4 +20,12 @@
 
 absl::string_view toString(store_call kind);
 
+//! \brief Whether the call has the same effect and reply if it is executed twice.
+//!
+//! A conditional change hasn't: its repetition meets its own effect and is reported as a conflict.
+constexpr bool isRepeatable(store_call kind)
+{
+    return kind != store_call::Write && kind != store_call::Erase;
+}
+
 } // namespace camphorsaddle::external
