Coordinator: Adopt a job once its inbox entry is gone, whoever has erased it

Cause: adoptJob returned on every conflict. A conflict says that the entry has another version or doesn't exist; if it doesn't exist, nobody announces the job again, and the leader had not read it.

Change: a job is read and added whenever its entry is gone. Adding a job that is known changes nothing, and the erasure still expects the leader key, so that no former leader adopts it too. write_conflict in the log tells a conflict with the leader's own earlier write from one with another writer's, and job_adopted says whether the job is known then.

--- a/src/libs/utils/events.cpp
+++ b/src/libs/utils/events.cpp
@@ -60,6 +60,7 @@
         events::jobAdopted,
         events::jobNotErased,
         events::callAnswered,
+        events::writeConflict,
         events::workerAnnounced,
         events::workerWithdrawn,
         events::workerEntryRejected,
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -155,34 +155,42 @@
                           }
                           if (next)
                               adoptJob(id, *next);
-                          if (outcome != write_outcome::Committed)
-                              return;
-                          m_store.list(store_keys::jobPrefix(id), "", 0, [this, id, self = weak_from_this()](absl::StatusOr<external::key_listing> listing) {
-                              const auto guard = self.lock();
-                              if (!guard)
-                                  return;
-                              if (!listing.ok()) {
-                                  utils::logEvent(utils::events::storeUnavailable, { { "step", "adopt job" }, { "job", id }, { "error", utils::describe(listing.status()) } });
-                                  m_onDeposed("a job that was stored without the leader can't be read");
-                                  return;
-                              }
-                              const auto now = utils::nowIncludingSuspend();
-                              for (const auto& entry : listing->entries) {
-                                  if (entry.key != store_keys::job(id))
-                                      continue;
-                                  if (const auto job = jobs::parseJob(entry.value); job.ok())
-                                      addJob(*job, now);
-                              }
-                              if (std::ranges::any_of(listing->entries, [&](const auto& entry) { return entry.key == store_keys::cancellation(id); }))
-                                  m_engine.cancel(id, now);
-                              m_inboxTracker.forgetCancellation(id);
-                              utils::logEvent(utils::events::jobAdopted, { { "job", id } });
-                              scheduleDecisions();
-                          });
+                          // Nobody announces the job again once its entry is gone, whoever has erased it.
+                          const bool isEntryGone = outcome == write_outcome::Committed || (outcome == write_outcome::Conflict && present == nullptr);
+                          if (isEntryGone)
+                              loadAnnouncedJob(id);
                       } },
         true);
 }
 
+void leader_term::loadAnnouncedJob(const std::string& id)
+{
+    m_store.list(store_keys::jobPrefix(id), "", 0, [this, id, self = weak_from_this()](absl::StatusOr<external::key_listing> listing) {
+        const auto guard = self.lock();
+        if (!guard)
+            return;
+        if (!listing.ok()) {
+            utils::logEvent(utils::events::storeUnavailable, { { "step", "adopt job" }, { "job", id }, { "error", utils::describe(listing.status()) } });
+            m_onDeposed("a job that was stored without the leader can't be read");
+            return;
+        }
+        const auto now = utils::nowIncludingSuspend();
+        for (const auto& entry : listing->entries) {
+            if (entry.key != store_keys::job(id))
+                continue;
+            if (const auto job = jobs::parseJob(entry.value); job.ok())
+                addJob(*job, now);
+            else
+                utils::logEvent(utils::events::storedValueUnreadable, { { "key", entry.key }, { "error", utils::describe(job.status()) } });
+        }
+        if (std::ranges::any_of(listing->entries, [&](const auto& entry) { return entry.key == store_keys::cancellation(id); }))
+            m_engine.cancel(id, now);
+        m_inboxTracker.forgetCancellation(id);
+        utils::logEvent(utils::events::jobAdopted, { { "job", id }, { "keys", std::to_string(listing->entries.size()) }, { "known", m_engine.hasJob(id) ? "true" : "false" } });
+        scheduleDecisions();
+    });
+}
+
 void leader_term::handleCall(const job_call& call, reply_callback reply)
 {
     if (!m_isLoaded) {
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -57,6 +57,8 @@
     //! \brief Adds a job that the store has, and cancels it if the inbox has said so already.
     void addJob(const jobs::job_spec& job, utils::time_point now);
     void adoptJob(const std::string& id, external::revision entryVersion);
+    //! \brief Reads a job whose inbox entry is gone and adds it; a job that is known already stays as it is.
+    void loadAnnouncedJob(const std::string& id);
     void submitJob(const job_call& call, const reply_callback& reply);
     void completeSubmission(const jobs::job_spec& job, write_outcome outcome);
     void cancelJob(const job_call& call, const reply_callback& reply);
--- a/src/tasks/coordinator/leader_writer.cpp
+++ b/src/tasks/coordinator/leader_writer.cpp
@@ -169,6 +169,9 @@
             continue;
         }
         const bool isOwnEarlierWrite = queued.mayBeWritten && (queued.write.value ? value != nullptr && value->value == *queued.write.value : value == nullptr);
+        utils::logEvent(utils::events::writeConflict, { { "key", queued.write.key }, { "cause", isOwnEarlierWrite ? "own_write" : queued.mayBeWritten ? "other_writer_or_own_write"
+                                                                                                                                                      : "other_writer" },
+                                                          { "expected", std::to_string(queued.write.expectedVersion) }, { "version", std::to_string(value == nullptr ? 0 : value->version) } });
         if (isOwnEarlierWrite)
             queued.write.done(write_outcome::Committed, value == nullptr ? 0 : value->version, nullptr);
         else
--- a/tests/auto/tasks/memory_store.h
+++ b/tests/auto/tasks/memory_store.h
@@ -17,6 +17,8 @@
     Refuses,
     //! Executes the call, but the caller gets no reply.
     LosesReplies,
+    //! Executes a transaction twice and replies with the second outcome, as a transport that repeats requests does.
+    RepeatsTransactions,
 };
 
 //! \brief A transactional store in memory that replies on the event loop.
@@ -55,6 +57,8 @@
             return;
         }
         auto result = apply(change);
+        if (replyMode == reply_mode::RepeatsTransactions)
+            result = apply(change);
         if (replyMode == reply_mode::LosesReplies)
             postReply([callback] { callback(absl::DeadlineExceededError("no reply")); });
         else
--- /dev/null
+++ b/tests/auto/tasks/tst_leader_term.cpp
@@ -0,0 +1,136 @@
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "jobs/job_record.h"
+#include "tasks/coordinator/leader_term.h"
+#include "tasks/memory_store.h"
+#include "tasks/plain_deployment_format.h"
+
+using namespace camphorsaddle;
+using namespace camphorsaddle::tasks;
+using namespace camphorsaddle::tasks::test;
+
+namespace {
+
+constexpr utils::milliseconds settlingTime { 300 };
+const std::string jobId = "job";
+
+class plain_deployment final : public plain_deployment_format<deployment_adapter> {
+public:
+    std::unique_ptr<external::transactional_store> makeStore(transport::http_client&, utils::metric_registry&) const override
+    {
+        return nullptr;
+    }
+
+    std::unique_ptr<external::run_control> makeRunControl(transport::http_client&) const override
+    {
+        return nullptr;
+    }
+};
+
+//! Control of workers in a fleet without any.
+class unused_run_control final : public external::run_control {
+public:
+    void start(const external::worker_address&, const external::run_order&, std::function<void(external::order_reply)>) override { }
+    void stop(const external::worker_address&, const external::run_id&, std::uint64_t, std::function<void(external::order_reply)>) override { }
+    void pace(const external::worker_address&, const external::run_id&, int, std::uint64_t, std::function<void(external::order_reply)>) override { }
+    void observe(const external::worker_address&, const external::observe_order&, std::function<void(external::observe_reply)>) override { }
+};
+
+//! A daemon that leads with a store in memory.
+class leading_daemon : public testing::Test {
+protected:
+    leading_daemon()
+    {
+        m_election.start();
+        runLoop(m_loop, settlingTime);
+        EXPECT_TRUE(m_election.isLeader());
+        m_term = std::make_shared<leader_term>(m_loop, m_settings, m_deployment, m_store, m_runControl, m_election, [this](const std::string&) { m_isDeposed = true; });
+        m_term->begin();
+        runLoop(m_loop, settlingTime);
+        EXPECT_TRUE(m_term->isLoaded());
+    }
+
+    ~leading_daemon() override
+    {
+        m_term->end();
+    }
+
+    static jobs::job_spec makeJob()
+    {
+        jobs::job_spec job;
+        job.id = jobId;
+        job.queue = "queue";
+        job.steps.resize(1);
+        job.steps.front().count = 1;
+        return job;
+    }
+
+    //! Stores a job as a daemon does that gets no reply from the leader.
+    void storeWithoutLeader(const std::string& mark)
+    {
+        m_store.put(store_keys::job(jobId), jobs::encodeJob(makeJob()));
+        if (mark == store_keys::cancelledMark)
+            m_store.put(store_keys::cancellation(jobId), "cancelled");
+        m_store.put(store_keys::inboxPrefix + jobId, mark);
+    }
+
+    job_reply call(call_kind kind)
+    {
+        std::optional<job_reply> reply;
+        job_call call;
+        call.kind = kind;
+        call.subject = jobId;
+        call.job = makeJob();
+        call.timeout = utils::milliseconds(1000);
+        m_term->handleCall(call, [&](const job_reply& received) { reply = received; });
+        runLoop(m_loop, settlingTime);
+        return reply.value_or(job_reply {});
+    }
+
+    transport::event_loop m_loop;
+    memory_store m_store { m_loop };
+    job_daemon_settings m_settings;
+    plain_deployment m_deployment;
+    unused_run_control m_directControl;
+    utils::metric_registry m_metrics;
+    relayed_order_counters m_counters { m_metrics };
+    relayed_run_control m_runControl { m_loop, m_directControl, "own", [](const std::string&, const protocol::CoordinatorEnvelope&) {}, m_counters, 1 };
+    leader_election m_election { m_loop, m_store, m_settings.leaderElection, { "daemon", 1, "own", 0 }, [] {
+                                } };
+    std::shared_ptr<leader_term> m_term;
+    bool m_isDeposed = false;
+};
+
+struct announced_job_case {
+    const char* name;
+    reply_mode replyMode;
+    std::string mark;
+    jobs::job_phase phase;
+};
+
+class announced_job : public leading_daemon, public testing::WithParamInterface<announced_job_case> {
+};
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(Stores, announced_job,
+    testing::Values(announced_job_case { "submitted", reply_mode::Succeeds, "submitted", jobs::job_phase::Queued },
+        announced_job_case { "submittedAndErasedTwice", reply_mode::RepeatsTransactions, "submitted", jobs::job_phase::Queued },
+        announced_job_case { "cancelledAndErasedTwice", reply_mode::RepeatsTransactions, store_keys::cancelledMark, jobs::job_phase::Cancelled }),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against an accepted job that the leader never learns of: the erasure of its inbox entry was reported as a conflict, although the
+// entry was gone, and the job wasn't read (review/1).
+TEST_P(announced_job, IsAdoptedOnceItsInboxEntryIsGone)
+{
+    m_store.replyMode = GetParam().replyMode;
+    storeWithoutLeader(GetParam().mark);
+    runLoop(m_loop, settlingTime);
+    EXPECT_FALSE(m_store.content.contains(store_keys::inboxPrefix + jobId));
+    const auto reply = call(call_kind::Status);
+    EXPECT_EQ(reply.outcome, call_outcome::Done);
+    EXPECT_EQ(reply.phase, GetParam().phase);
+    EXPECT_FALSE(m_isDeposed);
+}
