Jobs: Don't give up a job whose limit of attempts isn't known

Cause: maximumAttemptsOf took one attempt, the strictest rule, for a queue that it didn't find. The end of a job is stored and final.

Change: a failure is judged by the queue's limit in the current configuration; for a queue that it doesn't have, by the limit at the job's acceptance, which is now stored with the job. Without either it waits: the task isn't started again and the job doesn't end before the limit is known; a cancellation ends the wait. A leader without a configuration still leads, since most of its work needs none.

Ruled out: ends that are counted twice (failedRuns holds one).

--- a/src/libs/jobs/engine_command.h
+++ b/src/libs/jobs/engine_command.h
@@ -69,14 +69,15 @@
     PaceOrdered,
     TargetMissed,
     TargetMet,
+    FailureUnjudged,
 };
 
-inline constexpr std::size_t engineEventKindCount = 19;
+inline constexpr std::size_t engineEventKindCount = 20;
 
 constexpr absl::string_view toString(engine_event_kind kind)
 {
     constexpr absl::string_view names[engineEventKindCount] { "run_started", "run_ended", "run_lost", "run_stopped", "run_uncertain", "run_adopted", "order_refused",
-        "worker_seen", "worker_silent", "worker_reborn", "job_ended", "restore_ended", "deposed", "task_suspected", "starts_suspended", "starts_resumed", "pace_ordered", "target_missed", "target_met" };
+        "worker_seen", "worker_silent", "worker_reborn", "job_ended", "restore_ended", "deposed", "task_suspected", "starts_suspended", "starts_resumed", "pace_ordered", "target_missed", "target_met", "failure_unjudged" };
     return names[static_cast<std::size_t>(kind)];
 }
 
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -53,6 +53,8 @@
     std::vector<step_spec> steps;
     //! When the job was accepted, in Unix time.
     utils::milliseconds acceptedAt { 0 };
+    //! The queue's limit of failed runs of a task when the job was accepted; 0 if unknown.
+    unsigned maximumAttempts = 0;
 
     auto operator<=>(const job_spec&) const = default;
 };
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -28,6 +28,8 @@
 void job_engine::setRules(std::shared_ptr<const deployment_rules> rules)
 {
     m_rules = rules_index(std::move(rules));
+    m_hasRules = true;
+    m_mayJudgeFailures = true;
     for (auto* worker : m_workerList)
         worker->rejectsOverload = m_rules.rejectsOverload(worker->description.service);
 }
@@ -193,10 +195,15 @@
     return m_rules.find(job.spec.queue);
 }
 
-unsigned job_engine::maximumAttemptsOf(const job_state& job) const
+// The limit at the acceptance holds for a queue that the operators have removed. Before the configuration has arrived it may be
+// outdated.
+std::optional<unsigned> job_engine::maximumAttemptsOf(const job_state& job) const
 {
-    const auto* rules = rulesOf(job);
-    return rules == nullptr ? 1 : std::max(rules->maxAttempts, 1u);
+    if (const auto* rules = rulesOf(job))
+        return std::max(rules->maxAttempts, 1u);
+    if (!m_hasRules || job.spec.maximumAttempts == 0)
+        return std::nullopt;
+    return job.spec.maximumAttempts;
 }
 
 job_progress job_engine::progressOf(const job_state& job) const
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -160,7 +160,12 @@
     void stopRuns(job_state& job, utils::time_point now, const std::string& reason);
     job_progress progressOf(const job_state& job) const;
     const queue_rules* rulesOf(const job_state& job) const;
-    unsigned maximumAttemptsOf(const job_state& job) const;
+    //! \brief Number of failed runs of one task after which the job fails; nullopt as long as it isn't known.
+    std::optional<unsigned> maximumAttemptsOf(const job_state& job) const;
+    //! \brief Ends the job if the task has failed as often as the queue allows. Without a known limit the task waits.
+    void judgeFailures(job_state& job, unsigned step, unsigned index, utils::time_point now);
+    //! \brief Judges the failures that waited for the configuration.
+    void judgeWaitingFailures(utils::time_point now);
 
     // Runs.
     run_state& openRun(job_state& job, unsigned step, unsigned index, worker_state& worker, std::uint64_t number, utils::time_point now);
@@ -310,6 +315,10 @@
     std::uint64_t m_term;
     event_callback m_onEvent;
     rules_index m_rules;
+    //! The operators' configuration has arrived.
+    bool m_hasRules = false;
+    //! New rules may decide on failures that couldn't be judged.
+    bool m_mayJudgeFailures = false;
     std::unordered_map<std::string, std::unique_ptr<job_state>> m_jobs;
     std::map<std::string, std::unique_ptr<worker_state>> m_workers;
     //! The same workers, in the same order, for the loops of each decision.
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -57,6 +57,8 @@
 {
     std::vector<engine_command> commands;
     const bool mayStartNow = mayStart(now);
+    if (std::exchange(m_mayJudgeFailures, false))
+        judgeWaitingFailures(now);
     // Decisions that depend on elapsed time only are made at intervals, those that replies cause at each call.
     if (now >= m_reviewedAt + reviewInterval) {
         m_reviewedAt = now;
@@ -163,13 +165,13 @@
 bool job_engine::isWaiting(const job_state& job, unsigned step, const task_state& task, utils::time_point now) const
 {
     ++m_waitingChecks;
-    if (task.isDone || now < task.notBefore || (task.mayRunUnderFormerLeader && m_isRestoring))
+    if (task.isDone || task.isFailureUnjudged || now < task.notBefore || (task.mayRunUnderFormerLeader && m_isRestoring))
         return false;
     if (task.runs.empty())
         return true;
     // Only a run that has certainly started and then stalled gets a speculative copy.
     return job.spec.steps[step].speculative && !isCrashSuspect(task) && task.runs.size() == 1 && task.runs.front()->phase == run_phase::Running
-        && std::ranges::find(task.avoidedWorkers, task.runs.front()->worker->description.id) != task.avoidedWorkers.end() && task.failedRuns.size() + 1 < maximumAttemptsOf(job);
+        && std::ranges::find(task.avoidedWorkers, task.runs.front()->worker->description.id) != task.avoidedWorkers.end() && task.failedRuns.size() + 1 < maximumAttemptsOf(job).value_or(1);
 }
 
 // The tasks of the steps are looked at only when their turn comes: with a long backlog most steps find no worker.
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -190,8 +190,38 @@
     task.failedRuns.push_back(run);
     task.notBefore = now + failureRestartDelay;
     markChanged(job);
-    if (!isFinal(job.phase) && task.failedRuns.size() >= maximumAttemptsOf(job))
-        endJob(job, job_phase::Failed, now, absl::StrCat("task ", step, ".", index, " failed ", task.failedRuns.size(), " times"));
+    judgeFailures(job, step, index, now);
+}
+
+void job_engine::judgeFailures(job_state& job, unsigned step, unsigned index, utils::time_point now)
+{
+    if (isFinal(job.phase))
+        return;
+    auto& task = job.steps[step].tasks[index];
+    const auto limit = maximumAttemptsOf(job);
+    task.isFailureUnjudged = !limit;
+    if (!limit) {
+        job.hasUnjudgedFailures = true;
+        m_onEvent({ engine_event_kind::FailureUnjudged, job.spec.id, absl::StrCat(step, ".", index), "", absl::StrCat("attempts=", task.failedRuns.size(), " queue=", job.spec.queue, " has_rules=", m_hasRules) });
+        return;
+    }
+    if (task.failedRuns.size() >= *limit)
+        endJob(job, job_phase::Failed, now, absl::StrCat("task ", step, ".", index, " failed ", task.failedRuns.size(), " times of ", *limit));
+}
+
+void job_engine::judgeWaitingFailures(utils::time_point now)
+{
+    // The end of a job removes it from the list.
+    for (auto* job : std::vector(m_activeJobs)) {
+        if (!std::exchange(job->hasUnjudgedFailures, false))
+            continue;
+        for (unsigned step = 0; step < job->steps.size(); ++step) {
+            for (unsigned index = 0; index < job->steps[step].tasks.size(); ++index) {
+                if (job->steps[step].tasks[index].isFailureUnjudged)
+                    judgeFailures(*job, step, index, now);
+            }
+        }
+    }
 }
 
 void job_engine::handleRunEnd(worker_state& worker, const external::run_end& end, utils::time_point now)
--- a/src/libs/jobs/job_record.cpp
+++ b/src/libs/jobs/job_record.cpp
@@ -159,11 +159,12 @@
     for (const auto& step : job.steps)
         writeStep(step, *record.add_steps());
     record.set_accepted_ms(job.acceptedAt.count());
+    record.set_maximum_attempts(job.maximumAttempts);
 }
 
 job_spec readJob(const protocol::JobRecord& record)
 {
-    job_spec job { record.id(), record.queue(), record.service(), record.payload(), {}, utils::milliseconds(record.accepted_ms()) };
+    job_spec job { record.id(), record.queue(), record.service(), record.payload(), {}, utils::milliseconds(record.accepted_ms()), record.maximum_attempts() };
     for (const auto& step : record.steps())
         job.steps.push_back(readStep(step));
     return job;
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -94,6 +94,8 @@
     bool isDone = false;
     //! Numbers of the failed runs.
     std::vector<std::uint64_t> failedRuns;
+    //! A run has failed, and whether the task may be started again isn't known before the configuration arrives.
+    bool isFailureUnjudged = false;
     //! Consecutive restarts of a long-running task.
     unsigned restarts = 0;
     //! Number of workers that crashed while a run of the task was suspected of it.
@@ -156,6 +158,8 @@
     bool isQueuedForStorage = false;
     bool isEndQueuedForStorage = false;
     bool isCancelStored = false;
+    //! One of its tasks has an unjudged failure.
+    bool hasUnjudgedFailures = false;
     //! When the first task was reported as started in this term; the epoch before.
     utils::time_point firstStartAt;
     //! Runs of this term, for the log: all, failed, and ended in any other way than by completion.
--- a/src/tasks/job_front/job_front_task.cpp
+++ b/src/tasks/job_front/job_front_task.cpp
@@ -219,6 +219,7 @@
         call.job.id = call.subject;
         call.job.queue = queue.name;
         call.job.service = queue.service;
+        call.job.maximumAttempts = queue.maxAttempts;
         call.job.acceptedAt = std::chrono::duration_cast<utils::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
         if (const auto status = jobs::validate(call.job); !status.ok()) {
             rejectRequest(request, responder, 400, utils::describe(status));
