Jobs: Judge missing runs only by a complete list of ends

Cause: a run that an answer lists neither among the runs nor among the ends counted as never started, and its worker as heard. A list of ends with the worker's greatest length proves nothing about what it doesn't hold. handleMissingRun read the same without a change of the leader.

Change: a list is complete if it is empty, shorter than the longest one of the same process, or surpassed by a later one; that needs no knowledge of the limit. Until a worker of the roster has sent such a list it is observed and waited for, for a lease after its last answer. Missing runs are judged only by a report with a complete list.

Weighed: the limit of 500 as a constant of the platform (a worker may return fewer), and an empty list as the only proof (a busy worker hardly sends one).

--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -222,7 +222,9 @@
     //! \brief Handles an answer of a process of the worker, which may be a former or a later one than the known.
     void handleObservation(worker_state& worker, const observe_command& command, const external::observe_reply& reply, utils::time_point sentAt, utils::time_point now);
     void handleRunEnd(worker_state& worker, const external::run_end& end, utils::time_point now);
-    void handleRunReports(worker_state& worker, const std::vector<external::run_report>& reports, bool isNewest, utils::time_point sentAt, utils::time_point now);
+    //! \brief Ends the wait for a worker of a former leader once it has certainly listed all runs and ends.
+    void confirmRuns(worker_state& worker, std::size_t endCount, utils::time_point now);
+    void handleRunReports(worker_state& worker, const external::observation& reported, bool isNewest, utils::time_point sentAt, utils::time_point now);
     //! \brief Returns the reported run, or nullptr if the engine doesn't track it. \a isNewest if no reply of the process has an
     //! equal or later time.
     run_state* handleRunReport(worker_state& worker, const external::run_report& report, bool isNewest, utils::time_point now);
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -74,6 +74,8 @@
     worker.acknowledgedEnd = 0;
     worker.forgottenEnd = 0;
     worker.lastEnd = 0;
+    worker.longestEndList = 0;
+    worker.newestEndList.reset();
     worker.unstoredRunEnds.clear();
     worker.nextObservation = now;
     std::erase_if(worker.rejectedStarts, [&](const rejected_start& start) { return now > start.until; });
@@ -197,8 +199,9 @@
     updateClock(worker, workerState.clock, now);
     if (isInOrder)
         recordReport(worker, reply, sentAt, now);
+    worker.longestEndList = std::max(worker.longestEndList, workerState.ended.size());
     if (!worker.hasAcceptedTerm || (isSilenceOver && worker.unansweredObserves > 0))
-        reportEvent(engine_event_kind::WorkerSeen, worker, absl::StrCat("running=", workerState.running.size(), " ended=", workerState.ended.size(), " silences=", worker.unansweredObserves));
+        reportEvent(engine_event_kind::WorkerSeen, worker, absl::StrCat("running=", workerState.running.size(), " ended=", workerState.ended.size(), listsAllEnds(worker, workerState.ended.size()) ? "" : " more_ends=possible", " silences=", worker.unansweredObserves));
     if (isSilenceOver) {
         worker.unansweredObserves = 0;
         worker.mayHaveRestarted = false;
@@ -210,25 +213,44 @@
     if (!worker.hasAcceptedTerm)
         worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, now + m_settings.maximumLeaseDuration(m_settings.leaseDuration));
     worker.hasAcceptedTerm = true;
-    m_unconfirmedWorkers.erase(worker.description.id);
+    if (isInOrder)
+        confirmRuns(worker, workerState.ended.size(), now);
     for (const auto& end : workerState.ended)
         handleRunEnd(worker, end, now);
     if (isInOrder)
-        handleRunReports(worker, workerState.running, isNewest, sentAt, now);
+        handleRunReports(worker, workerState, isNewest, sentAt, now);
     acknowledgeEnds(worker);
 }
 
-void job_engine::handleRunReports(worker_state& worker, const std::vector<external::run_report>& reports, bool isNewest, utils::time_point sentAt, utils::time_point now)
+// A list that has grown proves that the former one was complete. The runs of the former report and their ends are known.
+void job_engine::confirmRuns(worker_state& worker, std::size_t endCount, utils::time_point now)
+{
+    const bool wasComplete = worker.newestEndList && listsAllEnds(worker, *worker.newestEndList);
+    worker.newestEndList = endCount;
+    const auto unconfirmed = m_unconfirmedWorkers.find(worker.description.id);
+    if (unconfirmed == m_unconfirmedWorkers.end())
+        return;
+    if (wasComplete || listsAllEnds(worker, endCount)) {
+        m_unconfirmedWorkers.erase(unconfirmed);
+        return;
+    }
+    unconfirmed->second.until = std::max(unconfirmed->second.until, now + m_settings.maximumLeaseDuration(m_settings.leaseDuration));
+}
+
+void job_engine::handleRunReports(worker_state& worker, const external::observation& reported, bool isNewest, utils::time_point sentAt, utils::time_point now)
 {
     const auto reportNumber = ++worker.reportCount;
-    for (const auto& report : reports) {
+    for (const auto& report : reported.running) {
         if (auto* run = handleRunReport(worker, report, isNewest, now))
             run->lastReport = reportNumber;
     }
-    std::vector<run_state*> missingRuns;
-    std::ranges::copy_if(worker.runs, std::back_inserter(missingRuns), [&](const auto* run) { return run->lastReport != reportNumber; });
-    for (auto* run : missingRuns)
-        handleMissingRun(*run, sentAt, now);
+    // The end of a missing run may be among those that the worker hasn't listed yet.
+    if (listsAllEnds(worker, reported.ended.size())) {
+        std::vector<run_state*> missingRuns;
+        std::ranges::copy_if(worker.runs, std::back_inserter(missingRuns), [&](const auto* run) { return run->lastReport != reportNumber; });
+        for (auto* run : missingRuns)
+            handleMissingRun(*run, sentAt, now);
+    }
     sampleLatencies(worker, now);
     worker.isPaceReviewDue = true;
 }
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -241,6 +241,9 @@
     //! execute the order late and forget ends that nobody has seen.
     std::uint64_t forgottenEnd = 0;
     std::uint64_t lastEnd = 0;
+    //! Number of ends in the longest list of the present process, and in its newest report; nullopt before the first one.
+    std::size_t longestEndList = 0;
+    std::optional<std::size_t> newestEndList;
     std::deque<unstored_run_end> unstoredRunEnds;
     //! Resources of all runs; best-effort runs count without their processors.
     model::resources allocated;
@@ -280,6 +283,14 @@
     worker_reliability reliability;
 };
 
+//! \brief Whether a report with \a count ends lists all that the worker keeps.
+//!
+//! A worker limits the number of ends in a report, and may keep more. The limit isn't known, but no list is longer.
+inline bool listsAllEnds(const worker_state& worker, std::size_t count)
+{
+    return count == 0 || count < worker.longestEndList;
+}
+
 inline worker_process processOf(const worker_state& worker)
 {
     return { worker.description.endpoint, worker.description.incarnation, worker.clock };
--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -75,6 +75,8 @@
     std::map<external::task_id, std::uint64_t> closed;
     std::vector<external::run_end> ended;
     std::uint64_t nextEnd = 1;
+    //! Maximum number of ends in a report.
+    std::size_t endsPerReport = 500;
     //! Number of the last end that a reply has listed.
     std::uint64_t lastListedEnd = 0;
     //! Number of the last end that was listed when the lease expired. Acknowledgements of it and earlier ones come too late.
--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 
 #include "absl/strings/str_cat.h"
 #include "jobs/simulated_fleet.h"
@@ -264,7 +265,8 @@
 
 external::observe_reply simulated_fleet::report(const fake_worker& worker) const
 {
-    external::observe_reply reply { external::order_outcome::Accepted, { clockOf(worker), worker.description.incarnation, {}, worker.ended } };
+    external::observe_reply reply { external::order_outcome::Accepted, { clockOf(worker), worker.description.incarnation, {}, {} } };
+    std::ranges::copy_n(worker.ended.begin(), static_cast<std::ptrdiff_t>(std::min(worker.ended.size(), worker.endsPerReport)), std::back_inserter(reply.workerState.ended));
     for (const auto& [task, run] : worker.running) {
         const auto left = std::chrono::duration_cast<utils::milliseconds>(run.endsAt - m_now).count();
         const int servingPercent = m_now < run.startedAt + m_startupTime ? 0 : 100;
@@ -325,7 +327,8 @@
             schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, {} }); });
             return;
         }
-        worker.lastListedEnd = worker.nextEnd - 1;
+        if (!reply.workerState.ended.empty())
+            worker.lastListedEnd = reply.workerState.ended.back().number;
         for (const auto& run : command.order.described)
             m_guard.describeRun(worker.description.id, run, term, m_now);
         review(worker.description.id, reply, term);
--- /dev/null
+++ b/tests/auto/jobs/tst_long_end_lists.cpp
@@ -0,0 +1,83 @@
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "jobs/simulated_fleet.h"
+
+using namespace camphorsaddle;
+using namespace camphorsaddle::jobs;
+using namespace camphorsaddle::jobs::test;
+
+namespace {
+
+constexpr utils::milliseconds startTime { 2000 };
+constexpr utils::milliseconds silentTime { 1000 };
+constexpr utils::milliseconds observedTime { 10'000 };
+
+enum class leader_change {
+    None,
+    Planned,
+    Unplanned,
+};
+
+struct end_list_case {
+    const char* name;
+    unsigned taskCount;
+    std::size_t endsPerReport;
+    leader_change change;
+};
+
+class end_lists : public testing::TestWithParam<end_list_case> {
+};
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(Changes, end_lists,
+    testing::Values(end_list_case { "sameLeader", 12, 3, leader_change::None },
+        end_list_case { "plannedChange", 12, 3, leader_change::Planned },
+        end_list_case { "unplannedChange", 12, 3, leader_change::Unplanned },
+        end_list_case { "unplannedChangeOneEndAtATime", 5, 1, leader_change::Unplanned },
+        end_list_case { "unplannedChangeListsAreFull", 12, 6, leader_change::Unplanned },
+        end_list_case { "sameLeaderListIsShort", 12, 500, leader_change::None },
+        end_list_case { "unplannedChangeListIsShort", 12, 500, leader_change::Unplanned }),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against a second run of tasks that are done: a worker lists a limited number of ends at a time, and a run whose end was not among
+// the first ones was taken for one that had never started (review/2).
+TEST_P(end_lists, AreReadToTheirEndBeforeMissingRunsAreStartedAgain)
+{
+    const auto& parameters = GetParam();
+    simulated_fleet fleet;
+    fleet.addWorker("w1").endsPerReport = parameters.endsPerReport;
+    fleet.submit(makeJob("job", { batchStep(parameters.taskCount) }));
+    ASSERT_TRUE(fleet.runUntil([&] { return fleet.workersRunning("job").size() == parameters.taskCount; }, startTime));
+    fleet.worker("w1").faults.isUnresponsive = true;
+    fleet.run(silentTime);
+    ASSERT_EQ(fleet.worker("w1").ended.size(), parameters.taskCount);
+    if (parameters.change != leader_change::None)
+        fleet.changeLeader(parameters.change == leader_change::Planned);
+    fleet.worker("w1").faults = {};
+    EXPECT_TRUE(fleet.runUntil([&] { return fleet.phase("job") == job_phase::Completed; }, observedTime));
+    for (unsigned index = 0; index < parameters.taskCount; ++index)
+        EXPECT_EQ(fleet.startCount({ "job", 0, 0, index }), 1u) << index;
+    EXPECT_EQ(fleet.violations(), std::vector<std::string>());
+}
+
+// A worker whose ends can't be read in time must not hold up the tasks of the others for longer than its lease.
+TEST(EndLists, WorkerThatIsLostBeforeItHasListedAllEndsIsWaitedForAsLongAsItsLease)
+{
+    const engine_settings settings;
+    simulated_fleet fleet;
+    fleet.addWorker("w1").endsPerReport = 1;
+    fleet.submit(makeJob("job", { batchStep(3) }));
+    ASSERT_TRUE(fleet.runUntil([&] { return fleet.workersRunning("job").size() == 3; }, startTime));
+    fleet.worker("w1").faults.isUnresponsive = true;
+    fleet.run(silentTime);
+    fleet.changeLeader(true);
+    fleet.worker("w1").faults = {};
+    ASSERT_TRUE(fleet.runUntil([&] { return fleet.engine().workers().at("w1")->hasAcceptedTerm; }, startTime));
+    fleet.removeWorker("w1");
+    fleet.addWorker("w2");
+    EXPECT_TRUE(fleet.runUntil([&] { return fleet.phase("job") == job_phase::Completed; }, settings.maximumLeaseDuration(settings.leaseDuration) + startTime));
+    EXPECT_EQ(fleet.violations(), std::vector<std::string>());
+}
