Jobs, coordinator: Don't wait for a former leader that has certainly ended

Cause: a new leader waits 12.1 s for each silent worker of the roster, from the time at which it has loaded the jobs, and holds back each task that it hasn't found. That protects from two runs beside a former leader which goes on without the store, but it counted from too late a time and was made for leaders that are known to have ended, too.

Change: (1) the grace period counts from the last time at which the former leader can have renewed its lease, which the store has ended before the next election: 10.1 s from the election. (2) The store has a history of the leaders whose runs may be unknown; the new leader sends each of them a notice of its term. A daemon that gets one ends any earlier term, also when it can't reach the store, and replies; an earlier process of the same daemon needs none. When all have replied, a silent worker is waited for as long as its lease.

Promises kept: no order of a former leader comes after its grace period from its last renewal, or after its reply; each of its leases was granted before.

--- a/src/libs/jobs/engine_settings.h
+++ b/src/libs/jobs/engine_settings.h
@@ -30,8 +30,10 @@
     utils::milliseconds withdrawalGracePeriod { 2500 };
     //! How long a finished job is kept, so that callers can query its phase.
     utils::milliseconds finishedJobRetention { 150'000 };
-    //! Longest time for which a former leader may have renewed workers' leases after it lost the leadership.
+    //! Longest time after the last renewal of its leadership for which a former leader may have sent orders.
     utils::milliseconds formerLeaderGracePeriod { 7000 };
+    //! Least time for which a new leader waits for the answers of the former leader's workers.
+    utils::milliseconds shortestTakeoverWait { 2000 };
     //! How long a new leader waits for a worker's directory entry before it queries the worker at the stored address.
     utils::milliseconds directoryListingTime { 500 };
     //! Added to the lease duration when a new leader waits for a worker whose entry had expired before its term.
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -276,12 +276,18 @@
     return worker.isAnnounced || !worker.runs.empty() || m_unconfirmedWorkers.contains(worker.description.id);
 }
 
+roster_worker job_engine::rosterEntryOf(const worker_state& worker)
+{
+    const auto& description = worker.description;
+    return { description.id, description.endpoint, description.dataCentre, description.incarnation, worker.hasRestarted };
+}
+
 std::vector<roster_worker> job_engine::roster() const
 {
     std::vector<roster_worker> workers;
     for (const auto* worker : m_workerList) {
         if (belongsOnRoster(*worker))
-            workers.push_back({ worker->description.id, worker->description.endpoint, worker->description.dataCentre });
+            workers.push_back(rosterEntryOf(*worker));
     }
     return workers;
 }
@@ -292,8 +298,7 @@
     for (const auto* worker : m_workerList) {
         if (!belongsOnRoster(*worker))
             continue;
-        const auto& description = worker->description;
-        if (stored == m_storedRoster.end() || stored->id != description.id || stored->endpoint != description.endpoint || stored->dataCentre != description.dataCentre)
+        if (stored == m_storedRoster.end() || *stored != rosterEntryOf(*worker))
             return true;
         ++stored;
     }
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -68,6 +68,11 @@
     //! If the former leader handed over as planned, it sends no more orders, and only the workers' leases are waited
     //! for.
     void beginTerm(const worker_roster& roster, utils::time_point now);
+    //! \brief No former leader has renewed its leadership after \a at. Must be called before beginTerm(), which assumes the
+    //! present time otherwise.
+    void confirmLastFormerRenewal(utils::time_point at);
+    //! \brief No former leader has sent an order after \a at.
+    void confirmFormerLeadersEnded(utils::time_point at);
     //! \brief Roster for the next leader. No command may be executed after this call.
     worker_roster endTerm(utils::time_point now) const;
     void add(const job_spec& job, utils::time_point now);
@@ -104,6 +109,8 @@
     //! \brief Number of the queue's jobs of which no task has started.
     std::uint64_t pending(const std::string& queue) const;
     std::size_t unfinishedJobCount() const;
+    //! \brief Whether workers may execute runs of former leaders that this one doesn't know.
+    bool isRestoring() const;
     //! \brief Whether a worker has rejected an order because it knows a higher fencing token, that of a newer leader.
     bool isDeposed() const;
     //! \brief Total number of evaluations of a worker as a place for a task.
@@ -127,6 +134,14 @@
         utils::time_point until;
         //! Address to which the former leader sent its starts; empty if unknown.
         std::string endpoint;
+        //! Process of the roster; 0 if unknown.
+        std::int64_t incarnation = 0;
+        //! An earlier process of it was known, or has been replaced since.
+        bool hasRestarted = false;
+        //! The former leader has told how long it may execute runs.
+        bool isHandedOver = false;
+        //! When it last sent a report that may lack ends; the epoch before.
+        utils::time_point reportedAt;
     };
     class worker_search;
     //! What a search for a worker depends on, beside the workers.
@@ -305,8 +320,12 @@
     void appendObserveCommands(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands);
     void endRestorationIfComplete(utils::time_point now);
     //! \brief Whether the directory has had an entry of the worker in this term.
+    //! \brief Time by which the runs of former leaders have ended on a worker that doesn't answer.
+    utils::time_point waitEnd(const std::string& id, const unconfirmed_worker& worker) const;
+    bool mayHoldLongLease(const std::string& id, const unconfirmed_worker& worker) const;
     bool hasBeenListed(const std::string& worker) const;
     utils::milliseconds unlistedWorkerWait() const;
+    static roster_worker rosterEntryOf(const worker_state& worker);
     bool belongsOnRoster(const worker_state& worker) const;
     bool isRosterStored(const worker_state& worker) const;
     utils::milliseconds expectedDuration(const job_state& job, unsigned step) const;
@@ -338,6 +357,9 @@
     utils::time_point m_termStartedAt;
     //! Until when no other leader can begin a term; unlimited until the first confirmation.
     utils::time_point m_leadershipCertainUntil = utils::time_point::max();
+    std::optional<utils::time_point> m_lastFormerRenewal;
+    //! Since when no former leader sends orders, as far as is proven.
+    std::optional<utils::time_point> m_formerLeadersEndedAt;
     utils::time_point m_directoryConfirmedAt;
     utils::time_point m_cancellationsConfirmedAt;
     bool m_areStartsSuspended = false;
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -60,6 +60,7 @@
         reportEvent(engine_event_kind::WorkerRestarted, worker, absl::StrCat("life=", incarnation, " runs=", worker.runs.size()));
         closeRunsAsLost(worker, worker_loss::Restarted, now, "its worker restarted");
         worker.hasAcceptedTerm = false;
+        worker.hasRestarted = true;
     }
     if (!worker.isIncarnationGuessed)
         worker.highestFormerIncarnation = std::max(worker.highestFormerIncarnation, worker.description.incarnation);
@@ -88,6 +89,7 @@
     if (const auto unconfirmed = m_unconfirmedWorkers.find(worker.description.id); unconfirmed != m_unconfirmedWorkers.end()) {
         const auto leaseEnd = now + m_settings.maximumLeaseDuration(m_settings.longestLeaseOnWorker);
         unconfirmed->second.until = std::max(unconfirmed->second.until, leaseEnd);
+        unconfirmed->second.hasRestarted = true;
     }
 }
 
@@ -234,6 +236,7 @@
         m_unconfirmedWorkers.erase(unconfirmed);
         return;
     }
+    unconfirmed->second.reportedAt = now;
     unconfirmed->second.until = std::max(unconfirmed->second.until, now + m_settings.maximumLeaseDuration(m_settings.leaseDuration));
 }
 
--- a/src/libs/jobs/job_engine_takeover.cpp
+++ b/src/libs/jobs/job_engine_takeover.cpp
@@ -46,13 +46,15 @@
     markRosterStored(roster.workers);
     m_termStartedAt = now;
     const auto leaseTime = m_settings.maximumLeaseDuration(m_settings.leaseDuration);
+    // A worker that can be reached gets the time to answer, even if all leases have expired while the jobs were loaded.
+    const auto formerLeaseEnd = std::max(m_lastFormerRenewal.value_or(now) + m_settings.formerLeaderGracePeriod + leaseTime, now + m_settings.shortestTakeoverWait);
     const bool hasEndedAsPlanned = roster.endedTerm != 0 && roster.endedTerm + 1 == m_term;
     for (const auto& worker : roster.workers) {
         const auto silent = roster.silent.find(worker.id);
         if (!hasEndedAsPlanned)
-            m_unconfirmedWorkers[worker.id] = { now + m_settings.formerLeaderGracePeriod + leaseTime, worker.endpoint };
+            m_unconfirmedWorkers[worker.id] = { formerLeaseEnd, worker.endpoint, worker.incarnation, worker.hasRestarted };
         else
-            m_unconfirmedWorkers[worker.id] = { now + (silent == roster.silent.end() ? leaseTime : silent->second), worker.endpoint };
+            m_unconfirmedWorkers[worker.id] = { now + (silent == roster.silent.end() ? leaseTime : silent->second), worker.endpoint, worker.incarnation, worker.hasRestarted, true };
     }
     restorePossibleCrashes(now);
     for (const auto& worker : roster.workers) {
@@ -60,6 +62,7 @@
         if (!worker.endpoint.empty())
             known.description.endpoint = worker.endpoint;
         known.description.dataCentre = worker.dataCentre;
+        known.hasRestarted = worker.hasRestarted;
         // An answer proves what the worker executes, but not when the leases of the former leader end.
         if (hasEndedAsPlanned)
             known.leaseExpiresAt = m_unconfirmedWorkers.at(worker.id).until;
@@ -84,10 +87,36 @@
             result.silent[id] = timeUntil(worker->leaseExpiresAt);
     }
     for (const auto& [id, worker] : m_unconfirmedWorkers)
-        result.silent[id] = timeUntil(worker.until);
+        result.silent[id] = timeUntil(waitEnd(id, worker));
     return result;
 }
 
+void job_engine::confirmLastFormerRenewal(utils::time_point at)
+{
+    m_lastFormerRenewal = at;
+}
+
+void job_engine::confirmFormerLeadersEnded(utils::time_point at)
+{
+    m_formerLeadersEndedAt = at;
+    m_onEvent({ engine_event_kind::FormerLeadersEnded, "", "", "", absl::StrCat("unconfirmed=", m_unconfirmedWorkers.size(), " term_age_ms=", std::chrono::duration_cast<utils::milliseconds>(at - m_termStartedAt).count()) });
+}
+
+// A start for its former process, which a restarted worker executes late, gives it a longer lease than any leader grants.
+bool job_engine::mayHoldLongLease(const std::string& id, const unconfirmed_worker& worker) const
+{
+    const auto known = m_workers.find(id);
+    const bool isOtherProcess = known != m_workers.end() && known->second->description.incarnation != 0 && known->second->description.incarnation != worker.incarnation;
+    return worker.hasRestarted || isOtherProcess;
+}
+
+utils::time_point job_engine::waitEnd(const std::string& id, const unconfirmed_worker& worker) const
+{
+    if (!m_formerLeadersEndedAt || worker.isHandedOver || mayHoldLongLease(id, worker))
+        return worker.until;
+    return std::min(worker.until, std::max(*m_formerLeadersEndedAt, worker.reportedAt) + m_settings.maximumLeaseDuration(m_settings.leaseDuration));
+}
+
 bool job_engine::hasBeenListed(const std::string& worker) const
 {
     const auto found = m_workers.find(worker);
@@ -99,13 +128,18 @@
     return m_settings.maximumLeaseDuration(m_settings.leaseDuration) + m_settings.unlistedWorkerLeaseMargin;
 }
 
+bool job_engine::isRestoring() const
+{
+    return m_isRestoring || !m_unconfirmedWorkers.empty();
+}
+
 // The restoration is complete when no worker can execute a run that this leader doesn't know. A worker whose entry had expired before
 // the term is assumed to be gone. An entry that expires later may be that of a worker which the former leader still reaches.
 void job_engine::endRestorationIfComplete(utils::time_point now)
 {
     const bool isDirectoryRead = m_directoryConfirmedAt >= m_termStartedAt;
     const bool mayLackListedWorkers = !isDirectoryRead || now < m_termStartedAt + unlistedWorkerWait();
-    const bool isWaiting = std::ranges::any_of(m_unconfirmedWorkers, [&](const auto& entry) { return now < entry.second.until && (mayLackListedWorkers || hasBeenListed(entry.first)); });
+    const bool isWaiting = std::ranges::any_of(m_unconfirmedWorkers, [&](const auto& entry) { return now < waitEnd(entry.first, entry.second) && (mayLackListedWorkers || hasBeenListed(entry.first)); });
     if (isWaiting || (!m_isRestoring && m_unconfirmedWorkers.empty()))
         return;
     // The next leader may have adopted the runs of a worker that this one has waited for.
--- a/src/libs/jobs/job_record.cpp
+++ b/src/libs/jobs/job_record.cpp
@@ -139,6 +139,21 @@
         return absl::OkStatus();
     }
 
+    void writeLeader(const leader_record& leader, protocol::LeaderRecord& record)
+    {
+        record.set_daemon(leader.daemon);
+        record.set_incarnation(leader.incarnation);
+        record.set_endpoint(leader.endpoint);
+        record.set_term(leader.term);
+    }
+
+    absl::StatusOr<leader_record> readLeader(const protocol::LeaderRecord& record)
+    {
+        if (record.term() > maximumTerm)
+            return outOfBounds("read leader", "the term");
+        return leader_record { record.daemon(), record.incarnation(), record.endpoint(), record.term() };
+    }
+
     template <typename Record>
     absl::StatusOr<Record> parseRecord(const std::string& value, absl::string_view step)
     {
@@ -220,13 +235,18 @@
 std::string encodeLeader(const leader_record& leader)
 {
     protocol::LeaderRecord record;
-    record.set_daemon(leader.daemon);
-    record.set_incarnation(leader.incarnation);
-    record.set_endpoint(leader.endpoint);
-    record.set_term(leader.term);
+    writeLeader(leader, record);
     return record.SerializeAsString();
 }
 
+std::string encodeLeaderHistory(const std::vector<leader_record>& leaders)
+{
+    protocol::LeaderHistory history;
+    for (const auto& leader : leaders)
+        writeLeader(leader, *history.add_leaders());
+    return history.SerializeAsString();
+}
+
 std::string encodeLearned(const learned_record& learned)
 {
     protocol::LearnedRecord record;
@@ -253,6 +273,8 @@
         auto& address = *record.add_addresses();
         address.set_endpoint(worker.endpoint);
         address.set_data_centre(worker.dataCentre);
+        address.set_incarnation(worker.incarnation);
+        address.set_restarted(worker.hasRestarted);
     }
     record.set_ended_term(roster.endedTerm);
     for (const auto& [worker, left] : roster.silent) {
@@ -292,9 +314,22 @@
     const auto record = parseRecord<protocol::LeaderRecord>(value, "read leader");
     if (!record.ok())
         return record.status();
-    if (record->term() > maximumTerm)
-        return outOfBounds("read leader", "the term");
-    return leader_record { record->daemon(), record->incarnation(), record->endpoint(), record->term() };
+    return readLeader(*record);
+}
+
+absl::StatusOr<std::vector<leader_record>> parseLeaderHistory(const std::string& value)
+{
+    const auto history = parseRecord<protocol::LeaderHistory>(value, "read leader history");
+    if (!history.ok())
+        return history.status();
+    std::vector<leader_record> leaders;
+    for (const auto& record : history->leaders()) {
+        auto leader = readLeader(record);
+        if (!leader.ok())
+            return leader.status();
+        leaders.push_back(*std::move(leader));
+    }
+    return leaders;
 }
 
 absl::StatusOr<learned_record> parseLearned(const std::string& value)
@@ -334,6 +369,8 @@
         if (record->addresses_size() == record->workers_size()) {
             roster.workers.back().endpoint = record->addresses(index).endpoint();
             roster.workers.back().dataCentre = record->addresses(index).data_centre();
+            roster.workers.back().incarnation = record->addresses(index).incarnation();
+            roster.workers.back().hasRestarted = record->addresses(index).restarted();
         }
     }
     for (const auto& silent : record->silent()) {
--- a/src/libs/jobs/job_record.h
+++ b/src/libs/jobs/job_record.h
@@ -85,6 +85,10 @@
     //! Empty if unknown.
     std::string endpoint;
     std::string dataCentre;
+    //! Incarnation of its process; 0 if unknown.
+    std::int64_t incarnation = 0;
+    //! An earlier process of it is known.
+    bool hasRestarted = false;
 
     auto operator<=>(const roster_worker&) const = default;
 };
@@ -112,6 +116,7 @@
 std::string encodeJob(const job_spec& job);
 std::string encodeProgress(const job_progress& progress);
 std::string encodeLeader(const leader_record& leader);
+std::string encodeLeaderHistory(const std::vector<leader_record>& leaders);
 std::string encodeLearned(const learned_record& learned);
 std::string encodeRoster(const worker_roster& roster);
 
@@ -120,6 +125,7 @@
 absl::StatusOr<job_spec> parseJob(const std::string& value);
 absl::StatusOr<job_progress> parseProgress(const std::string& value);
 absl::StatusOr<leader_record> parseLeader(const std::string& value);
+absl::StatusOr<std::vector<leader_record>> parseLeaderHistory(const std::string& value);
 absl::StatusOr<learned_record> parseLearned(const std::string& value);
 absl::StatusOr<worker_roster> parseRoster(const std::string& value);
 
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -206,6 +206,8 @@
     utils::time_point incarnationSeenAt;
     //! Only its clock has shown the present process so far; the incarnation stands for the one that an observation will tell.
     bool isIncarnationGuessed = false;
+    //! An earlier process of it is known, be it to a former leader.
+    bool hasRestarted = false;
     //! Highest of its former incarnations; 0 if none is known.
     std::int64_t highestFormerIncarnation = 0;
     //! It rejects tasks that exceed its capacity; any other worker starts whatever it is ordered to.
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -13,6 +13,7 @@
 
     constexpr utils::milliseconds tickInterval { 50 };
     constexpr utils::milliseconds helloInterval { 500 };
+    constexpr utils::milliseconds leaderNoticeInterval { 200 };
 
 } // namespace
 
@@ -164,8 +165,14 @@
 void coordinator_task::send(const std::string& endpoint, const protocol::CoordinatorEnvelope& envelope)
 {
     auto& sender = m_peerSenders[endpoint];
-    if (!sender)
-        sender = std::make_unique<transport::message_sender>(endpoint);
+    try {
+        if (!sender)
+            sender = std::make_unique<transport::message_sender>(endpoint);
+    } catch (const zmq::error_t& failure) {
+        m_peerSenders.erase(endpoint);
+        utils::logEvent(utils::events::peerMessageDropped, { { "peer", endpoint }, { "error", failure.what() } });
+        return;
+    }
     const std::string bytes = envelope.SerializeAsString();
     if (!sender->send(zmq::message_t(bytes.data(), bytes.size())))
         utils::logEvent(utils::events::peerMessageDropped, { { "peer", endpoint } });
@@ -201,6 +208,13 @@
     case protocol::CoordinatorEnvelope::kRunReplies:
         m_relayedControl->handleReplies(envelope.run_replies(), now);
         return;
+    case protocol::CoordinatorEnvelope::kLeaderNotice:
+        onLeaderNotice(envelope.leader_notice());
+        return;
+    case protocol::CoordinatorEnvelope::kFollowerNotice:
+        if (m_term != nullptr)
+            m_term->noteFollower(envelope.follower_notice().endpoint(), envelope.follower_notice().term());
+        return;
     case protocol::CoordinatorEnvelope::kRules:
         if (m_term == nullptr)
             m_rulesFollower->applyUpdate(envelope.rules());
@@ -245,6 +259,30 @@
     postReply(reply);
 }
 
+// The store has elected a later leader, also if this daemon can't read that there.
+void coordinator_task::onLeaderNotice(const protocol::LeaderNotice& notice)
+{
+    if (notice.term() <= m_election->term() && m_election->isLeader())
+        return;
+    m_election->noteLaterTerm(notice.term());
+    protocol::CoordinatorEnvelope envelope;
+    envelope.mutable_follower_notice()->set_endpoint(m_settings.peerEndpoint);
+    envelope.mutable_follower_notice()->set_term(notice.term());
+    send(notice.endpoint(), envelope);
+}
+
+void coordinator_task::sendLeaderNotices(utils::time_point now)
+{
+    if (m_term == nullptr || now < m_lastNoticeSentAt + leaderNoticeInterval)
+        return;
+    m_lastNoticeSentAt = now;
+    protocol::CoordinatorEnvelope envelope;
+    envelope.mutable_leader_notice()->set_endpoint(m_settings.peerEndpoint);
+    envelope.mutable_leader_notice()->set_term(m_election->term());
+    for (const auto& leader : m_term->unprovenLeaders())
+        send(leader.endpoint, envelope);
+}
+
 // Announces this daemon to the leader as a relay for orders at regular intervals.
 void coordinator_task::sendHello(utils::time_point now)
 {
@@ -264,6 +302,7 @@
     const auto now = utils::nowIncludingSuspend();
     m_latenessReport.recordTick(now);
     sendHello(now);
+    sendLeaderNotices(now);
     m_rulesFollower->tick(now);
     postRulesState();
     // Not the present time: messages that have arrived meanwhile may still wait to be read.
--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -47,6 +47,9 @@
     void onPeerReply(const protocol::CoordinatorReply& message);
     void onTick();
     void sendHello(utils::time_point now);
+    void onLeaderNotice(const protocol::LeaderNotice& notice);
+    //! \brief Asks the former leaders whether they have ended.
+    void sendLeaderNotices(utils::time_point now);
     void send(const std::string& endpoint, const protocol::CoordinatorEnvelope& envelope);
 
     job_daemon_context& m_context;
@@ -68,6 +71,7 @@
     transport::timer m_tickTimer;
     forwarded_calls m_forwardedCalls;
     utils::time_point m_lastHelloSentAt;
+    utils::time_point m_lastNoticeSentAt;
     rules_state m_postedRulesState;
     bool m_canServe = false;
     bool m_isShuttingDown = false;
--- a/src/tasks/coordinator/leader_election.cpp
+++ b/src/tasks/coordinator/leader_election.cpp
@@ -37,6 +37,8 @@
 
     // Delay until a candidacy is repeated after the store granted no lease.
     constexpr utils::milliseconds candidacyRetryDelay { 200 };
+    // The orders of earlier leaders have expired long before as many others have led.
+    constexpr std::size_t maximumHistorySize = 16;
 
 } // namespace
 
@@ -70,6 +72,11 @@
         m_highestTerm = std::max(m_highestTerm, term);
         return;
     }
+    if (key == store_keys::leaderHistory) {
+        m_historyVersion = value == nullptr ? 0 : value->version;
+        readHistory(value);
+        return;
+    }
     if (key != store_keys::leader)
         return;
     m_leader.reset();
@@ -96,6 +103,17 @@
         revokeLease(value->lease);
 }
 
+void leader_election::readHistory(const external::key_value* value)
+{
+    m_history.clear();
+    if (value == nullptr)
+        return;
+    if (auto history = jobs::parseLeaderHistory(value->value); history.ok())
+        m_history = *std::move(history);
+    else
+        utils::logEvent(utils::events::storedValueUnreadable, { { "key", value->key }, { "error", utils::describe(history.status()) } });
+}
+
 void leader_election::onSynced()
 {
     if (!m_leader && m_leaderKeyVersion == 0 && !m_candidacyTimer.isActive())
@@ -134,14 +152,20 @@
 {
     auto record = m_ownRecord;
     record.term = m_lastTerm + 1;
+    auto history = m_history;
+    history.push_back(record);
+    if (history.size() > maximumHistorySize)
+        history.erase(history.begin());
     external::transaction change;
-    change.expected = { { store_keys::leader, 0 }, { store_keys::term, m_termKeyVersion } };
-    change.puts = { { store_keys::leader, jobs::encodeLeader(record), lease }, { store_keys::term, std::to_string(record.term), 0 } };
-    m_store.transact(change, [this, lease, grantedAt, record, alive = std::weak_ptr(m_alive)](absl::StatusOr<external::transaction_result> result) {
+    change.expected = { { store_keys::leader, 0 }, { store_keys::term, m_termKeyVersion }, { store_keys::leaderHistory, m_historyVersion } };
+    change.puts = { { store_keys::leader, jobs::encodeLeader(record), lease }, { store_keys::term, std::to_string(record.term), 0 }, { store_keys::leaderHistory, jobs::encodeLeaderHistory(history), 0 } };
+    m_store.transact(change, [this, lease, grantedAt, record, formerLeaders = m_history, alive = std::weak_ptr(m_alive)](absl::StatusOr<external::transaction_result> result) {
         if (alive.expired())
             return;
         m_isCandidate = false;
-        if (result.ok() && result->isCommitted && !m_hasResigned) {
+        // The reply may be handled after this daemon has learned of a later term.
+        const bool isOutdated = record.term < m_highestTerm;
+        if (result.ok() && result->isCommitted && !m_hasResigned && !isOutdated) {
             m_lease = lease;
             m_ownKeyVersion = result->at;
             m_leaderKeyVersion = result->at;
@@ -150,6 +174,12 @@
             m_highestTerm = std::max(m_highestTerm, record.term);
             m_leader = record;
             m_leaseExpiresAt = grantedAt + m_settings.leaseDuration;
+            // The store has ended the former leader's lease, so that it was renewed no later than its duration before.
+            m_lastFormerRenewal = utils::nowIncludingSuspend() - m_settings.leaseDuration;
+            m_formerLeaders = formerLeaders;
+            m_history = formerLeaders;
+            m_history.push_back(record);
+            m_historyVersion = result->at;
             setLeading(true, "the leader key was written");
             return;
         }
@@ -224,6 +254,13 @@
     m_watch.relist();
 }
 
+void leader_election::noteLaterTerm(std::uint64_t term)
+{
+    m_highestTerm = std::max(m_highestTerm, term);
+    if (m_isLeader && m_ownRecord.term < term)
+        stepDown("a later leader has announced its term");
+}
+
 void leader_election::checkLeader()
 {
     m_watch.relist();
@@ -259,6 +296,21 @@
     return m_highestTerm;
 }
 
+utils::time_point leader_election::lastFormerRenewal() const
+{
+    return m_lastFormerRenewal;
+}
+
+const std::vector<jobs::leader_record>& leader_election::formerLeaders() const
+{
+    return m_formerLeaders;
+}
+
+const jobs::leader_record& leader_election::ownRecord() const
+{
+    return m_ownRecord;
+}
+
 external::revision leader_election::leaderKeyVersion() const
 {
     return m_ownKeyVersion;
--- a/src/tasks/coordinator/leader_election.h
+++ b/src/tasks/coordinator/leader_election.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "external/transactional_store.h"
 #include "jobs/job_record.h"
@@ -32,6 +33,8 @@
     inline const std::string leaderPrefix = "camphorsaddle/lead/";
     inline const std::string leader = "camphorsaddle/lead/leader";
     inline const std::string term = "camphorsaddle/lead/term";
+    //! The leaders that may still send orders, or whose orders the present leader doesn't know yet; see former_leaders.
+    inline const std::string leaderHistory = "camphorsaddle/lead/history";
     inline const std::string roster = "camphorsaddle/roster";
     inline const std::string learned = "camphorsaddle/learned";
     inline const std::string jobsPrefix = "camphorsaddle/job/";
@@ -62,6 +65,8 @@
     void resign();
     //! \brief Ends this daemon's leadership because there is another leader or stored state can't be read; logs \a why.
     void stepDown(const std::string& why);
+    //! \brief Records that another daemon leads \a term; ends any earlier term of this daemon.
+    void noteLaterTerm(std::uint64_t term);
     //! \brief Reads the leader key again after a call to the leader failed.
     void checkLeader();
 
@@ -76,6 +81,12 @@
     std::uint64_t term() const;
     //! \brief Highest term of any leader that this daemon has learned of from the store.
     std::uint64_t highestTerm() const;
+    //! \brief Latest time at which any former leader can have renewed its leadership.
+    utils::time_point lastFormerRenewal() const;
+    //! \brief The leaders before this term, as read from the store; the last one led the term before.
+    const std::vector<jobs::leader_record>& formerLeaders() const;
+    //! \brief Record of this daemon's last term as leader.
+    const jobs::leader_record& ownRecord() const;
     //! \brief Version of the leader key that this term wrote; every write of the leader requires it.
     external::revision leaderKeyVersion() const;
     //! \brief The leader as last seen in the store; empty while the leader key does not exist or is unreadable.
@@ -85,6 +96,7 @@
 
 private:
     void onKeyChanged(const std::string& key, const external::key_value* value);
+    void readHistory(const external::key_value* value);
     void onSynced();
     void requestLease();
     void writeLeaderKey(external::lease_id lease, utils::time_point grantedAt);
@@ -103,6 +115,10 @@
     //! Version of the leader key as last seen; 0 if it does not exist.
     external::revision m_leaderKeyVersion = 0;
     external::revision m_termKeyVersion = 0;
+    external::revision m_historyVersion = 0;
+    //! The leaders in the history as last seen, and those before the own term.
+    std::vector<jobs::leader_record> m_history;
+    std::vector<jobs::leader_record> m_formerLeaders;
     std::uint64_t m_lastTerm = 0;
     std::uint64_t m_highestTerm = 0;
     bool m_isLeader = false;
@@ -113,6 +129,7 @@
     external::revision m_ownKeyVersion = 0;
     external::lease_id m_lease = 0;
     utils::time_point m_leaseExpiresAt;
+    utils::time_point m_lastFormerRenewal;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -48,10 +48,11 @@
     , m_decisionTickTimer(loop, [this] { scheduleDecisions(); })
     , m_decisionTimer(loop, [this] { runDecisions(); })
     , m_reloadTimer(loop, [this] { loadJobs(); })
-    , m_housekeepingTimer(loop, [this] { writeRoster(); eraseFinishedJobs(); m_eventLog.reportLeftOutLines(); })
+    , m_housekeepingTimer(loop, [this] { writeRoster(); writeHistory(); eraseFinishedJobs(); m_eventLog.reportLeftOutLines(); })
     , m_refreshTimer(loop, [this] { refreshWatches(); })
     , m_startedAt(utils::nowIncludingSuspend())
     , m_learnedWriteTimer(loop, [this] { writeLearnedRecord(); })
+    , m_formerLeaders(election.formerLeaders(), election.ownRecord())
 {
     m_workerWatch.setBatchingDelay(workerBatchingDelay);
 }
@@ -91,6 +92,26 @@
     scheduleDecisions();
 }
 
+void leader_term::noteFollower(const std::string& endpoint, std::uint64_t term)
+{
+    m_formerLeaders.noteFollower(endpoint, term);
+    reviewFormerLeaders();
+}
+
+const std::vector<jobs::leader_record>& leader_term::unprovenLeaders() const
+{
+    return m_formerLeaders.unproven();
+}
+
+void leader_term::reviewFormerLeaders()
+{
+    if (!m_isLoaded || m_haveFormerLeadersEnded || !m_formerLeaders.haveEnded())
+        return;
+    m_haveFormerLeadersEnded = true;
+    m_engine.confirmFormerLeadersEnded(utils::nowIncludingSuspend());
+    scheduleDecisions();
+}
+
 bool leader_term::isLoaded() const
 {
     return m_isLoaded;
@@ -102,9 +123,11 @@
     // Workers whose entries are missing are queried through the relays of their data centres too.
     for (const auto& worker : roster.workers)
         m_runControl.setWorkerDataCentre(worker.id, worker.dataCentre);
+    m_engine.confirmLastFormerRenewal(m_election.lastFormerRenewal());
     m_engine.beginTerm(roster, now);
     m_isLoaded = true;
-    utils::logEvent(utils::events::termLoaded, { { "term", std::to_string(m_election.term()) }, { "unfinished_jobs", std::to_string(m_engine.unfinishedJobCount()) }, { "roster", std::to_string(roster.workers.size()) }, { "load_ms", std::to_string(std::chrono::duration_cast<utils::milliseconds>(now - m_startedAt).count()) } });
+    utils::logEvent(utils::events::termLoaded, { { "term", std::to_string(m_election.term()) }, { "unfinished_jobs", std::to_string(m_engine.unfinishedJobCount()) }, { "roster", std::to_string(roster.workers.size()) }, { "load_ms", std::to_string(std::chrono::duration_cast<utils::milliseconds>(now - m_startedAt).count()) }, { "former_leaders", std::to_string(m_election.formerLeaders().size()) } });
+    reviewFormerLeaders();
     m_workerWatch.start();
     m_inboxWatch.start();
     m_decisionTickTimer.startRepeating(decisionInterval);
@@ -438,6 +461,21 @@
         true);
 }
 
+void leader_term::writeHistory()
+{
+    if (m_hasEnded || m_isHandingOver || m_isHistoryWritten || m_engine.isRestoring())
+        return;
+    m_isHistoryWritten = true;
+    if (m_election.formerLeaders().empty())
+        return;
+    // The key has had the version of the leader key since this daemon was elected.
+    m_writer.enqueue({ store_keys::leaderHistory, jobs::encodeLeaderHistory({ m_election.ownRecord() }), m_election.leaderKeyVersion(), utils::nowIncludingSuspend() + leaderWriteTimeout, false, [this](write_outcome outcome, external::revision, const external::key_value*) {
+                          if (outcome == write_outcome::Deposed)
+                              m_onDeposed("the leader key has changed");
+                      } },
+        false);
+}
+
 void leader_term::writeLearnedRecord()
 {
     if (m_hasEnded || m_isStoringLearned)
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -10,6 +10,7 @@
 #include "jobs/job_engine.h"
 #include "tasks/coordinator/coordinator_messages.h"
 #include "tasks/coordinator/decision_pacer.h"
+#include "tasks/coordinator/former_leaders.h"
 #include "tasks/coordinator/inbox_tracker.h"
 #include "tasks/coordinator/job_daemon_settings.h"
 #include "tasks/coordinator/job_event_log.h"
@@ -41,6 +42,10 @@
     //! \brief Ends the term: sends no more orders and replies NotLeader to pending calls.
     void end();
     void setRules(std::shared_ptr<const jobs::deployment_rules> rules);
+    //! \brief Records that the daemon at \a endpoint leads no term before \a term.
+    void noteFollower(const std::string& endpoint, std::uint64_t term);
+    //! \brief The leaders before this term that are not known to have ended.
+    const std::vector<jobs::leader_record>& unprovenLeaders() const;
     //! \brief Calls \a reply once, now or later.
     void handleCall(const job_call& call, reply_callback reply);
     //! \brief Whether the stored jobs are loaded.
@@ -70,6 +75,10 @@
     void writePendingProgress();
     void writeRoster();
     void writeLearnedRecord();
+    //! \brief Tells the engine once that all former leaders have ended.
+    void reviewFormerLeaders();
+    //! \brief Stores that no former leader has to be considered by the next one, once the engine knows all their runs.
+    void writeHistory();
     void eraseFinishedJobs();
 
     const deployment_adapter& m_deployment;
@@ -105,6 +114,9 @@
     external::revision m_learnedVersion = 0;
     bool m_isStoringLearned = false;
     inbox_tracker m_inboxTracker;
+    former_leaders m_formerLeaders;
+    bool m_haveFormerLeadersEnded = false;
+    bool m_isHistoryWritten = false;
 };
 
 } // namespace camphorsaddle::tasks
--- a/tests/auto/tasks/tst_leader_term.cpp
+++ b/tests/auto/tasks/tst_leader_term.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr utils::milliseconds settlingTime { 300 };
+constexpr utils::milliseconds housekeepingTime { 1500 };
 const std::string jobId = "job";
 
 class plain_deployment final : public plain_deployment_format<deployment_adapter> {
@@ -41,8 +42,12 @@
 //! A daemon that leads with a store in memory.
 class leading_daemon : public testing::Test {
 protected:
-    leading_daemon()
+    explicit leading_daemon(const std::vector<jobs::leader_record>& history = {})
     {
+        if (!history.empty()) {
+            m_store.put(store_keys::term, std::to_string(history.back().term));
+            m_store.put(store_keys::leaderHistory, jobs::encodeLeaderHistory(history));
+        }
         m_election.start();
         runLoop(m_loop, settlingTime);
         EXPECT_TRUE(m_election.isLeader());
@@ -134,3 +139,30 @@
     EXPECT_EQ(reply.phase, GetParam().phase);
     EXPECT_FALSE(m_isDeposed);
 }
+
+namespace {
+
+const jobs::leader_record formerLeader { "other", 1, "other", 4 };
+
+class leader_after_another : public leading_daemon {
+protected:
+    leader_after_another()
+        : leading_daemon({ formerLeader })
+    {
+    }
+
+    std::vector<jobs::leader_record> storedHistory() const
+    {
+        return *jobs::parseLeaderHistory(m_store.content.at(store_keys::leaderHistory).value);
+    }
+};
+
+} // namespace
+
+// The next leader has to consider a former leader only while its runs may be unknown.
+TEST_F(leader_after_another, RemovesItFromTheHistoryOnceItsRunsAreKnown)
+{
+    EXPECT_EQ(storedHistory(), (std::vector { formerLeader, m_election.ownRecord() }));
+    runLoop(m_loop, housekeepingTime);
+    EXPECT_EQ(storedHistory(), std::vector { m_election.ownRecord() });
+}
