Tests: Show that tasks wait for busy workers after a change of the leader

After a change of the leader no task starts that the workers haven't reported, until each worker has reported twice without as many ends as before. A busy worker answers each long poll with one end, so that its first and later lists never count as complete.

--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -111,6 +111,12 @@
     void setCapacity(const std::string& id, model::resources capacity);
     //! \brief Has the workers renew their directory entries regularly, and changes of them arrive only so.
     void enableEntryRenewal();
+    //! \brief Has the workers hold back their answers to observations until a run has ended or the observation's wait is over.
+    //! Otherwise they wait for a tenth of a second at most.
+    void enableLongPolls()
+    {
+        m_hasLongPolls = true;
+    }
     //! \brief Number of starts that workers refused for lack of capacity.
     unsigned refusedStartCount() const
     {
@@ -224,6 +230,8 @@
     void start(const start_command& command, std::uint64_t term);
     external::order_reply apply(fake_worker& worker, const external::run_order& order);
     void observe(const observe_command& command, std::uint64_t term);
+    //! \brief Calls \a action once the worker has ends to list, at \a until at the latest.
+    void whenEndsAreListed(const std::string& worker, utils::time_point until, std::function<void()> action);
     //! \brief Has the worker execute an observation; returns its answer.
     external::observe_reply apply(fake_worker& worker, const external::observe_order& order);
     external::observe_reply report(const fake_worker& worker) const;
@@ -278,6 +286,7 @@
     utils::milliseconds m_startupTime { 0 };
     std::vector<roster_worker> m_roster;
     bool m_isStoreDown = false;
+    bool m_hasLongPolls = false;
     bool m_hasEntryRenewal = false;
     //! The stored directory entries, if they are renewed.
     std::map<std::string, worker_description> m_entries;
--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -12,6 +12,7 @@
     constexpr utils::milliseconds orderDelay { 2 };
     constexpr utils::milliseconds callTimeout { 500 };
     constexpr utils::milliseconds longestLease { 10'000 };
+    constexpr utils::milliseconds longPollCheckInterval { 10 };
 
 } // namespace
 
@@ -293,6 +294,15 @@
     return report(worker);
 }
 
+void simulated_fleet::whenEndsAreListed(const std::string& worker, utils::time_point until, std::function<void()> action)
+{
+    if (m_now >= until || !m_workers.at(worker)->ended.empty()) {
+        action();
+        return;
+    }
+    schedule(longPollCheckInterval, [this, worker, until, action = std::move(action)] { whenEndsAreListed(worker, until, action); });
+}
+
 void simulated_fleet::observe(const observe_command& command, std::uint64_t term)
 {
     const auto answer = [this, command, term, sentAt = m_now](const external::observe_reply& reply) {
@@ -345,6 +355,15 @@
         schedule(callTimeout + command.order.wait, [answer] { answer({ external::order_outcome::NoAnswer, {} }); });
         return;
     }
+    if (m_hasLongPolls) {
+        schedule(orderDelay, [this, command, handleOrder, term] {
+            auto& worker = *m_workers.at(command.worker.id);
+            if (isReachable(worker, term) && !worker.faults.isDown && !worker.faults.isReplaced)
+                apply(worker, command.order);
+            whenEndsAreListed(command.worker.id, m_now + command.order.wait, handleOrder);
+        });
+        return;
+    }
     // A worker would answer at the next end of a run or after the wait. Here it answers after at most 100 ms instead.
     schedule(orderDelay + std::min(command.order.wait, utils::milliseconds(100)), handleOrder);
 }
