Jobs: Don't wait for a second report of busy workers

Cause: a list of ends counted as complete only if it was empty or shorter than a longer one of the same process. A busy worker answers each long poll with the one end that has just come, so that its lists never were, and the slowest of 1,100 workers decided. handleMissingRun waited for the same proof.

The worker protocol lists 500 ends at a time. Where it isn't known, a worker that may keep further ends is observed at once instead of with a long poll.

Ruled out: to wait for the tasks of such workers only, since a task's former worker isn't known to the next leader.

--- a/src/libs/jobs/engine_settings.h
+++ b/src/libs/jobs/engine_settings.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstddef>
+#include <optional>
+
 #include "utils/clock.h"
 
 namespace camphorsaddle::jobs {
@@ -19,6 +22,9 @@
     utils::milliseconds longPollTimeoutWithBestEffort { 500 };
     //! Delay before the next observation of a worker that didn't answer or whose ended runs aren't stored yet.
     utils::milliseconds observeRetryDelay { 250 };
+    //! Greatest number of ends that a worker lists in a report; nullopt if it isn't known. The worker keeps no further ends than those
+    //! of a shorter list.
+    std::optional<std::size_t> endsPerReport;
     //! Interval at which an order to stop is repeated until the run has ended.
     utils::milliseconds stopRetryInterval { 500 };
     //! How long after its time limit an order without an answer may still take effect. The worker protocol says seconds, without a bound.
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -203,7 +203,7 @@
         recordReport(worker, reply, sentAt, now);
     worker.longestEndList = std::max(worker.longestEndList, workerState.ended.size());
     if (!worker.hasAcceptedTerm || (isSilenceOver && worker.unansweredObserves > 0))
-        reportEvent(engine_event_kind::WorkerSeen, worker, absl::StrCat("running=", workerState.running.size(), " ended=", workerState.ended.size(), listsAllEnds(worker, workerState.ended.size()) ? "" : " more_ends=possible", " silences=", worker.unansweredObserves));
+        reportEvent(engine_event_kind::WorkerSeen, worker, absl::StrCat("running=", workerState.running.size(), " ended=", workerState.ended.size(), listsAllEnds(worker, m_settings, workerState.ended.size()) ? "" : " more_ends=possible", " silences=", worker.unansweredObserves));
     if (isSilenceOver) {
         worker.unansweredObserves = 0;
         worker.mayHaveRestarted = false;
@@ -227,12 +227,12 @@
 // A list that has grown proves that the former one was complete. The runs of the former report and their ends are known.
 void job_engine::confirmRuns(worker_state& worker, std::size_t endCount, utils::time_point now)
 {
-    const bool wasComplete = worker.newestEndList && listsAllEnds(worker, *worker.newestEndList);
+    const bool wasComplete = worker.newestEndList && listsAllEnds(worker, m_settings, *worker.newestEndList);
     worker.newestEndList = endCount;
     const auto unconfirmed = m_unconfirmedWorkers.find(worker.description.id);
     if (unconfirmed == m_unconfirmedWorkers.end())
         return;
-    if (wasComplete || listsAllEnds(worker, endCount)) {
+    if (wasComplete || listsAllEnds(worker, m_settings, endCount)) {
         m_unconfirmedWorkers.erase(unconfirmed);
         return;
     }
@@ -248,7 +248,7 @@
             run->lastReport = reportNumber;
     }
     // The end of a missing run may be among those that the worker hasn't listed yet.
-    if (listsAllEnds(worker, reported.ended.size())) {
+    if (listsAllEnds(worker, m_settings, reported.ended.size())) {
         std::vector<run_state*> missingRuns;
         std::ranges::copy_if(worker.runs, std::back_inserter(missingRuns), [&](const auto* run) { return run->lastReport != reportNumber; });
         for (auto* run : missingRuns)
@@ -394,7 +394,8 @@
     if (!worker.unstoredRunEnds.empty() && now < worker.answeredAt + m_settings.observeRetryDelay)
         return;
     utils::milliseconds wait { 0 };
-    if (worker.hasAcceptedTerm && worker.unansweredObserves == 0 && !worker.runs.empty())
+    const bool mayKeepFurtherEnds = worker.newestEndList && !listsAllEnds(worker, m_settings, *worker.newestEndList);
+    if (worker.hasAcceptedTerm && worker.unansweredObserves == 0 && !worker.runs.empty() && !mayKeepFurtherEnds)
         wait = worker.bestEffortProcessors > 0 && worker.longRunningProcessors > 0 ? m_settings.longPollTimeoutWithBestEffort : m_settings.longPollTimeout;
     worker.isObservePending = true;
     commands.push_back(observe_command { address, order(wait), false, processOf(worker), now });
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -10,6 +10,7 @@
 #include "external/run_control.h"
 #include "jobs/blocked_demand_model.h"
 #include "jobs/engine_command.h"
+#include "jobs/engine_settings.h"
 #include "jobs/interference_model.h"
 #include "jobs/job.h"
 #include "jobs/job_record.h"
@@ -287,10 +288,10 @@
 
 //! \brief Whether a report with \a count ends lists all that the worker keeps.
 //!
-//! A worker limits the number of ends in a report, and may keep more. The limit isn't known, but no list is longer.
-inline bool listsAllEnds(const worker_state& worker, std::size_t count)
+//! A worker limits the number of ends in a report, and may keep more. If the limit isn't known, no list is longer.
+inline bool listsAllEnds(const worker_state& worker, const engine_settings& settings, std::size_t count)
 {
-    return count == 0 || count < worker.longestEndList;
+    return count == 0 || count < settings.endsPerReport.value_or(worker.longestEndList);
 }
 
 inline worker_process processOf(const worker_state& worker)
--- a/tests/auto/jobs/tst_long_end_lists.cpp
+++ b/tests/auto/jobs/tst_long_end_lists.cpp
@@ -81,3 +81,38 @@
     EXPECT_TRUE(fleet.runUntil([&] { return fleet.phase("job") == job_phase::Completed; }, settings.maximumLeaseDuration(settings.leaseDuration) + startTime));
     EXPECT_EQ(fleet.violations(), std::vector<std::string>());
 }
+
+struct first_report_case {
+    std::size_t endCount;
+    bool isComplete;
+};
+
+class first_report : public testing::TestWithParam<first_report_case> {
+};
+
+INSTANTIATE_TEST_SUITE_P(Counts, first_report,
+    testing::Values(first_report_case { 0, true }, first_report_case { 1, true }, first_report_case { 499, true }, first_report_case { 500, false }, first_report_case { 501, false }));
+
+// A list below the known limit is complete by itself, so that tasks don't wait for a second report of a worker with ends.
+TEST_P(first_report, EndsTheWaitForTheWorkerIfItsListIsBelowTheLimit)
+{
+    engine_settings settings;
+    settings.endsPerReport = 500;
+    job_engine engine(settings, 2, [](const engine_event&) {});
+    const auto now = utils::time_point() + std::chrono::hours(1);
+    engine.beginTerm({ { { "w1", "address:1", "dc" } }, 0, {} }, now);
+    engine.announceWorker({ "w1", "address:1", "service", "dc", "rack", {}, { 32'000, 128'000, 0 }, false, utils::milliseconds(0), 1 }, now);
+    const auto later = now + utils::milliseconds(600);
+    engine.confirmDirectory(later);
+    engine.confirmCancellations(later);
+    for (const auto& command : engine.decideCommands(later)) {
+        const auto* observe = std::get_if<observe_command>(&command);
+        ASSERT_NE(observe, nullptr);
+        external::observe_reply reply { external::order_outcome::Accepted, { 1, 1, {}, {} } };
+        for (std::size_t number = 1; number <= GetParam().endCount; ++number)
+            reply.workerState.ended.push_back({ number, { { "unknown", 0, 0, static_cast<unsigned>(number) }, 1 }, external::end_cause::Done, "" });
+        engine.handleObserveReply("w1", *observe, reply, later, later);
+    }
+    engine.decideCommands(later + utils::milliseconds(50));
+    EXPECT_EQ(engine.isRestoring(), !GetParam().isComplete);
+}
--- a/tests/auto/platform/tst_odd_requests.cpp
+++ b/tests/auto/platform/tst_odd_requests.cpp
@@ -79,6 +79,10 @@
     return R"({"Version":7,"Routes":[)" + route + "]" + rest + "}";
 }
 
+const std::string goodSettings = R"({"NodeName":"n","Zone":"z","Ip":"10.0.0.1","HeartbeatMs":2000,"BindAddrs":{"Front":"10.0.0.1:80","Readiness":"10.0.0.1:81"},"PortRange":[7000,7010],)"
+                                 R"("platform":{"Address":"10.0.0.2:8169","TtlMinMs":1000},"Limits":{"CpuShare":0.1},)"
+                                 R"("Bounds":{"GraceS":6,"ConfigApplyMs":2500,"MaxHoldMs":10000,"StopMs":400,"ContactMs":4000,"DrainMs":2500,"cancel_ms":3000,"status_s":120}})";
+
 } // namespace
 
 INSTANTIATE_TEST_SUITE_P(Numbers, odd_step_field, testing::ValuesIn(crossed({ "Cpu", "MemMb", "Gpu", "EstimateMs", "AntiAffinity", "TargetMs", "MayMiss", "Times" }, oddNumbers)));
@@ -129,16 +133,21 @@
     expectRejected(parseConfiguration(configurationWith(goodRoute, R"(,"Services":)" + nestedLists())).status(), "nested");
 }
 
+// Without the limit each change of the leader lasts until all workers have reported twice.
+TEST(GoodSettings, HaveTheLimitOfEndsInAReport)
+{
+    const auto settings = parsePlatformSettings(goodSettings, "settings.json");
+    ASSERT_TRUE(settings.ok()) << settings.status();
+    EXPECT_EQ(settings->daemon.engine.endsPerReport, std::size_t(500));
+}
+
 TEST(OddSettings, AreRejectedByName)
 {
-    const std::string text = R"({"NodeName":"n","Zone":"z","Ip":"10.0.0.1","HeartbeatMs":2000,"BindAddrs":{"Front":"10.0.0.1:80","Readiness":"10.0.0.1:81"},"PortRange":[7000,7010],)"
-                             R"("platform":{"Address":"10.0.0.2:8169","TtlMinMs":1000},"Limits":{"CpuShare":0.1},)"
-                             R"("Bounds":{"GraceS":6,"ConfigApplyMs":2500,"MaxHoldMs":10000,"StopMs":400,"ContactMs":4000,"DrainMs":2500,"cancel_ms":3000,"status_s":120}})";
-    ASSERT_TRUE(parsePlatformSettings(text, "settings.json").ok()) << parsePlatformSettings(text, "settings.json").status();
+    ASSERT_TRUE(parsePlatformSettings(goodSettings, "settings.json").ok()) << parsePlatformSettings(goodSettings, "settings.json").status();
     const std::vector<std::array<std::string, 3>> replacements { { "\"GraceS\":6", "\"GraceS\":-6", "GraceS" }, { "\"GraceS\":6", "\"GraceS\":1e30", "GraceS" }, { "\"MaxHoldMs\":10000", "\"MaxHoldMs\":1e300", "MaxHoldMs" }, { "\"DrainMs\":2500", "\"DrainMs\":-1", "DrainMs" }, { "\"cancel_ms\":3000", "\"cancel_ms\":1e18", "cancel_ms" }, { "\"status_s\":120", "\"status_s\":1e18", "status_s" },
         { "\"HeartbeatMs\":2000", "\"HeartbeatMs\":-1", "HeartbeatMs" }, { "7000", "70000", "PortRange" }, { "7000", "-1", "PortRange" }, { "7000", "4294974296", "PortRange" }, { "0.1}", "-0.1}", "CpuShare" }, { "10.0.0.1:81", "10.0.0.1:65536", "65535" }, { "10.0.0.1:81", "10.0.0.1:0", "65535" } };
     for (const auto& [from, to, name] : replacements) {
-        auto changed = text;
+        auto changed = goodSettings;
         changed.replace(changed.find(from), from.size(), to);
         expectRejected(parsePlatformSettings(changed, "settings.json").status(), name);
     }
