Transport, platform: Read a store's response to its end while it keeps arriving

Cause: the store's client ended each call 1 s after it was sent. 79 listings of 0.5 MB share 150 Mbit/s, none arrives within a second, and each is requested again: 25 MB/s, 1,143 cut listings in the last log lines of these daemons, no configuration applied there after 35 s.

A silent store is noticed as before.

Ruled out: a longer total limit, which delays the notice of an outage.

--- a/src/libs/transport/http_client.cpp
+++ b/src/libs/transport/http_client.cpp
@@ -24,7 +24,10 @@
         http_call_id id = 0;
         http_call call;
         http_callback callback;
+        utils::time_point startedAt;
         utils::time_point deadline;
+        //! Size of the body when the deadline was set.
+        std::size_t sizeAtDeadline = 0;
         //! End of the timeout on a clock that includes suspensions; nothing is sent after it.
         utils::time_point sendLimit;
         CURL* handle = nullptr;
@@ -51,8 +54,10 @@
         return code == CURLE_OPERATION_TIMEDOUT ? absl::StatusCode::kDeadlineExceeded : absl::StatusCode::kUnknown;
     }
 
-    std::string timeoutCause(const http_call& call, bool isConnected)
+    std::string timeoutCause(const http_call& call, bool isConnected, std::size_t receivedBytes)
     {
+        if (isConnected && call.idleTimeout && receivedBytes > 0)
+            return absl::StrCat("the response stopped or took too long after ", receivedBytes, " bytes");
         if (isConnected)
             return absl::StrCat("no complete response within ", call.timeout.count(), " ms");
         return absl::StrCat("no connection within ", std::min(call.timeout, call.connectTimeout).count(), " ms");
@@ -140,6 +145,8 @@
     void endOverdueTransfers(utils::time_point now);
     //! \brief Reads what has arrived for a transfer, which the loop may not have had the time for; returns whether that ended it.
     bool endsByArrivedData(http_call_id id);
+    //! \brief Gives a transfer whose response keeps arriving more time; returns whether it has any left.
+    bool extendsDeadline(transfer& current, utils::time_point now);
     void startDeadlineTimer(utils::time_point now);
     std::unique_ptr<transfer> takeTransfer(http_call_id id);
     http_result resultOf(transfer& current, CURLcode code) const;
@@ -238,6 +245,7 @@
     current.handle = acquireHandle();
     configure(current);
     const auto now = m_loop.now();
+    current.startedAt = now;
     current.deadline = now + current.call.timeout;
     current.sendLimit = utils::nowIncludingSuspend() + current.call.timeout;
     m_deadlines.emplace(current.deadline, current.id);
@@ -258,7 +266,7 @@
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const auto id = m_deadlines.begin()->second;
-        if (endsByArrivedData(id))
+        if (endsByArrivedData(id) || extendsDeadline(*m_transfers.at(id), now))
             continue;
         const auto owned = takeTransfer(id);
         http_result result = resultOf(*owned, CURLE_OPERATION_TIMEDOUT);
@@ -283,6 +291,21 @@
     return !m_transfers.contains(id);
 }
 
+bool curl_client::extendsDeadline(transfer& current, utils::time_point now)
+{
+    const auto size = current.response.body.size();
+    if (!current.call.idleTimeout || size == current.sizeAtDeadline)
+        return false;
+    const auto deadline = std::min(now + *current.call.idleTimeout, current.startedAt + current.call.maximumDuration);
+    if (deadline <= now)
+        return false;
+    m_deadlines.erase({ current.deadline, current.id });
+    current.deadline = deadline;
+    current.sizeAtDeadline = size;
+    m_deadlines.emplace(deadline, current.id);
+    return true;
+}
+
 std::unique_ptr<transfer> curl_client::takeTransfer(http_call_id id)
 {
     const auto found = m_transfers.find(id);
@@ -346,7 +369,7 @@
     result.response.status = static_cast<int>(status);
     if (code == CURLE_OK)
         return result;
-    const std::string cause = code == CURLE_OPERATION_TIMEDOUT ? timeoutCause(current.call, result.mayHaveBeenSent)
+    const std::string cause = code == CURLE_OPERATION_TIMEDOUT ? timeoutCause(current.call, result.mayHaveBeenSent, result.response.body.size())
         : current.isTooLarge                                   ? absl::StrCat("the response is larger than ", current.call.responseLimit, " bytes")
         : !current.refusal.empty()                             ? current.refusal
         : current.errorText[0] != '\0'                         ? current.errorText
--- a/src/libs/transport/http_client.h
+++ b/src/libs/transport/http_client.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "absl/status/status.h"
@@ -19,6 +20,10 @@
     //! After this time the call ends, and a request that hasn't left yet isn't sent.
     utils::milliseconds timeout { 5000 };
     utils::milliseconds connectTimeout { 1000 };
+    //! If set, a response that keeps arriving is read to its end: the call ends when no part of the body has come for this time, and after
+    //! \a maximumDuration. The timeout holds until the first part.
+    std::optional<utils::milliseconds> idleTimeout;
+    utils::milliseconds maximumDuration { 30'000 };
     //! Whether to open a new connection. libcurl repeats a request by itself if it fails on a reused connection.
     bool requiresNewConnection = false;
     //! Whether the request must never be sent again after a byte of it was sent. Connections are reused all the same; a call whose
