Rules, docs: Don't send a change again while it may be on its way

The leader answered each hello with the change since the revision that the hello states, twice a second. Hellos that leave before a large change has arrived have it sent again: 1,896 routes are about 0.3 MB for each of 79 daemons beyond one link.

The leader waits now for the time that a change of this size takes at 125 KB/s. A small change is repeated with the next hello as before.

LargeChangeIsNotSentAgainWhileItMayBeOnItsWay failed before (more than twice the size of the change sent in 600 ms); LostChangeIsSentAgainAfterTheNextHello is unchanged.

--- a/src/libs/transport/http_client.h
+++ b/src/libs/transport/http_client.h
@@ -20,8 +20,8 @@
     //! After this time the call ends, and a request that hasn't left yet isn't sent.
     utils::milliseconds timeout { 5000 };
     utils::milliseconds connectTimeout { 1000 };
-    //! If set, a response that keeps arriving is read to its end: the call ends when no part of the body has come for this time, and after
-    //! \a maximumDuration. The timeout holds until the first part.
+    //! If set, a response that keeps arriving is read to its end. When the timeout passes after some of the body has come, the call gets this time more, and
+    //! again as long as it brings a further part, up to \a maximumDuration. A response that stops ends the call after once to twice this time.
     std::optional<utils::milliseconds> idleTimeout;
     utils::milliseconds maximumDuration { 30'000 };
     //! Whether to open a new connection. libcurl repeats a request by itself if it fails on a reused connection.
--- a/src/tasks/coordinator/prefix_watch.h
+++ b/src/tasks/coordinator/prefix_watch.h
@@ -12,7 +12,7 @@
 
 //! \brief Keeps a copy of all keys with a prefix: reads them once, then follows the changes by long polling.
 //!
-//! Reads all keys again when the store has compacted its history, when a watch gets no reply, and after an outage.
+//! Reads all keys again when the store has compacted its history.
 class prefix_watch {
 public:
     //! Called for each key that changed since the last call for it; \a value is null if the key was deleted.
--- a/src/tasks/coordinator/rules_follower.cpp
+++ b/src/tasks/coordinator/rules_follower.cpp
@@ -23,6 +23,14 @@
     // Daemons send a hello twice a second; updates for a daemon that is gone would accumulate in its message queue.
     constexpr utils::milliseconds followerSilenceTimeout { 1300 };
 
+    // Rate at which a change arrives at least. The daemons of a region get it at the same time over one link.
+    constexpr std::size_t changeBytesPerMillisecond = 125;
+
+    utils::milliseconds transferTimeOf(const protocol::CoordinatorEnvelope& envelope)
+    {
+        return utils::milliseconds(static_cast<std::int64_t>(envelope.ByteSizeLong() / changeBytesPerMillisecond));
+    }
+
     std::int64_t toMicroseconds(utils::time_point time)
     {
         return std::chrono::duration_cast<utils::microseconds>(time.time_since_epoch()).count();
@@ -127,8 +135,11 @@
     if (!m_isLeader || m_history.rules() == nullptr)
         return;
     auto& follower = m_followers[hello.endpoint()];
+    follower.lastHeardAt = now;
     const bool isChanged = follower.revision != hello.rules_revision();
-    follower = { hello.rules_revision(), now };
+    if (isChanged && now < follower.changeArrivesUntil)
+        return;
+    follower.revision = hello.rules_revision();
     if (isChanged && !m_history.changesSince(follower.revision))
         utils::logEvent(utils::events::followerRevisionUnknown, { { "peer", hello.endpoint() }, { "peer_revision", std::to_string(follower.revision) }, { "revision", std::to_string(m_history.revision()) } });
     sendUpdate(hello.endpoint(), follower, hello.sent_us(), now);
@@ -147,6 +158,8 @@
     update.set_age_ms(std::chrono::duration_cast<utils::milliseconds>(now - m_watch.confirmedAt()).count());
     update.set_hello_us(helloMicroseconds);
     m_send(endpoint, envelope);
+    if (change->from != change->to)
+        follower.changeArrivesUntil = now + transferTimeOf(envelope);
     follower.revision = change->to;
 }
 
--- a/src/tasks/coordinator/rules_follower.h
+++ b/src/tasks/coordinator/rules_follower.h
@@ -51,6 +51,8 @@
         //! Last revision that the daemon reported or was sent.
         external::revision revision = 0;
         utils::time_point lastHeardAt;
+        //! Until when the last change that it was sent may still be on its way.
+        utils::time_point changeArrivesUntil;
     };
 
     //! Time at which the rules were last known to be the newest.
--- a/tests/auto/tasks/tst_rules_follower.cpp
+++ b/tests/auto/tasks/tst_rules_follower.cpp
@@ -52,6 +52,7 @@
     {
         ++m_updateCount;
         m_largestUpdate = std::max(m_largestUpdate, envelope.ByteSizeLong());
+        m_sentBytes += envelope.ByteSizeLong();
         if (!m_dropsUpdates)
             m_follower.applyUpdate(envelope.rules());
     }
@@ -93,6 +94,7 @@
     bool m_isLeaderStopped = false;
     //! Size of the largest update in bytes.
     std::size_t m_largestUpdate = 0;
+    std::size_t m_sentBytes = 0;
     unsigned m_updateCount = 0;
     rules_follower m_leader { m_loop, m_store, m_format, [](const auto&) {}, [this](const auto&, const auto& envelope) {
                                  deliver(envelope);
@@ -164,6 +166,26 @@
     EXPECT_EQ(versionOf(m_follower), 2u);
 }
 
+// Guards against a link that is filled by a large change: the leader sent it again with each hello that had left before it arrived.
+TEST_F(rules_replication, LargeChangeIsNotSentAgainWhileItMayBeOnItsWay)
+{
+    exchangeHello();
+    m_dropsUpdates = true;
+    m_sentBytes = 0;
+    m_largestUpdate = 0;
+    std::string manyQueues = "2:";
+    for (int number = 0; number < 10'000; ++number)
+        absl::StrAppend(&manyQueues, "queue", number, ",");
+    m_store.put("rules", manyQueues + "a,b");
+    runFor(shortRunTime * 3);
+    EXPECT_GT(m_largestUpdate, 100'000u);
+    EXPECT_LT(m_sentBytes, 2 * m_largestUpdate);
+    // A lost one is repeated.
+    m_dropsUpdates = false;
+    runFor(shortRunTime * 10);
+    EXPECT_EQ(versionOf(m_follower), 2u);
+}
+
 TEST_F(rules_replication, RulesNeverRevertToAnOlderRevision)
 {
     m_store.put("rules", "5:a");
