Tests: Show that a start without effect is withdrawn on a busy worker

On a worker with ends in each report, a start that had no answer and never took effect kept its capacity until a report had fewer ends than an earlier one.

--- a/tests/auto/jobs/tst_long_end_lists.cpp
+++ b/tests/auto/jobs/tst_long_end_lists.cpp
@@ -116,3 +116,69 @@
     engine.decideCommands(later + utils::milliseconds(50));
     EXPECT_EQ(engine.isRestoring(), !GetParam().isComplete);
 }
+
+namespace {
+
+external::observe_reply reportOfEnds(std::size_t count, external::worker_time clock)
+{
+    external::observe_reply reply { external::order_outcome::Accepted, { clock, 1, {}, {} } };
+    for (std::size_t number = 1; number <= count; ++number)
+        reply.workerState.ended.push_back({ number, { { "unknown", 0, 0, static_cast<unsigned>(number) }, 1 }, external::end_cause::Done, "" });
+    return reply;
+}
+
+template <typename Command>
+std::vector<Command> commandsOf(const std::vector<engine_command>& commands)
+{
+    std::vector<Command> result;
+    for (const auto& command : commands) {
+        if (const auto* found = std::get_if<Command>(&command))
+            result.push_back(*found);
+    }
+    return result;
+}
+
+} // namespace
+
+class unanswered_start : public testing::TestWithParam<first_report_case> {
+};
+
+INSTANTIATE_TEST_SUITE_P(Counts, unanswered_start,
+    testing::Values(first_report_case { 0, true }, first_report_case { 1, true }, first_report_case { 499, true }, first_report_case { 500, false }));
+
+// Guards against capacity that stays reserved: on a worker with ends in each report, a start without effect was noticed late.
+TEST_P(unanswered_start, IsWithdrawnOnceAReportWithAllEndsLacksIt)
+{
+    constexpr utils::milliseconds interval { 50 };
+    engine_settings settings;
+    settings.endsPerReport = 500;
+    job_engine engine(settings, 1, [](const engine_event&) {});
+    engine.setRules(std::make_shared<const deployment_rules>(defaultRules()));
+    auto now = utils::time_point() + std::chrono::hours(1);
+    external::worker_time clock = 1;
+    const auto decide = [&] {
+        now += interval;
+        clock += interval.count();
+        engine.confirmDirectory(now);
+        engine.confirmCancellations(now);
+        return engine.decideCommands(now);
+    };
+    const auto answerAll = [&](const std::vector<engine_command>& commands, std::size_t endCount) {
+        for (const auto& observe : commandsOf<observe_command>(commands))
+            engine.handleObserveReply("w1", observe, reportOfEnds(endCount, clock), now, now);
+    };
+    engine.beginTerm({}, now);
+    engine.announceWorker({ "w1", "address:1", "service", "dc", "rack", {}, { 32'000, 128'000, 0 }, false, utils::milliseconds(0), 1 }, now);
+    answerAll(decide(), 0);
+    engine.markRosterStored(engine.roster());
+    engine.add(makeJob("job", { batchStep(1) }), now);
+    const auto commands = decide();
+    const auto starts = commandsOf<start_command>(commands);
+    ASSERT_EQ(starts.size(), 1u);
+    answerAll(commands, 0);
+    engine.handleStartReply("w1", starts.front().order.run, { external::order_outcome::NoAnswer, 0 }, now, now);
+    const auto observations = decide();
+    ASSERT_FALSE(commandsOf<observe_command>(observations).empty());
+    answerAll(observations, GetParam().endCount);
+    EXPECT_EQ(commandsOf<stop_command>(decide()).size(), GetParam().isComplete ? 1u : 0u);
+}
