Tests: Show starts that are ordered again and again where none arrives

That this is the cause of the record isn't shown by this commit.

A start without an answer, or one that the relay refuses as too old, is repeated 50 ms after the refusal or once the run is certainly not there. The choice of the worker knows nothing of the path to it: the same workers, the least loaded ones, are chosen again, and workers whose leases have expired are the least loaded ones.

The simulated fleet gets two faults, losesStarts and startsExpire, and a data centre for each worker.

--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -69,11 +69,11 @@
     m_engine->setRules(m_rules);
 }
 
-fake_worker& simulated_fleet::addWorker(const std::string& id, model::resources capacity)
+fake_worker& simulated_fleet::addWorker(const std::string& id, model::resources capacity, const std::string& dataCentre)
 {
     auto& worker = m_workers[id];
     worker = std::make_unique<fake_worker>();
-    worker->description = { id, "address of " + id, "service", "dc", "rack", { "a", "rack" }, capacity, false, utils::milliseconds(0), 1 };
+    worker->description = { id, "address of " + id, "service", dataCentre, "rack", { "a", "rack" }, capacity, false, utils::milliseconds(0), 1 };
     announce(worker->description);
     return *worker;
 }
--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -23,6 +23,9 @@
     bool losesReplies = false;
     //! Executes start orders, but its replies to them are lost.
     bool losesStartReplies = false;
+    //! Start orders don't arrive: they get no reply, or the relay refuses them as too old.
+    bool losesStarts = false;
+    bool startsExpire = false;
     //! Executes observations, but its replies to them are lost.
     bool losesObserveReplies = false;
     //! Half of the start orders take effect after this delay and get no reply.
@@ -104,7 +107,7 @@
         return *m_workers.at(id);
     }
 
-    fake_worker& addWorker(const std::string& id, model::resources capacity = { 32'000, 128'000, 0 });
+    fake_worker& addWorker(const std::string& id, model::resources capacity = { 32'000, 128'000, 0 }, const std::string& dataCentre = "dc");
     //! \brief Restarts the worker's process under the same id. Its clock starts anew, its entry arrives after \a entryDelay.
     void restartWorker(const std::string& id, utils::milliseconds entryDelay = utils::milliseconds(0));
     //! \brief Changes the capacity of a running worker. Its entry shows it with the next renewal.
--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -11,6 +11,8 @@
 
     constexpr utils::milliseconds orderDelay { 2 };
     constexpr utils::milliseconds callTimeout { 500 };
+    // A start is too old for a relay when it arrives a second after its decision.
+    constexpr utils::milliseconds relayRefusalDelay { 1000 };
     constexpr utils::milliseconds longestLease { 10'000 };
 
 } // namespace
@@ -227,10 +229,14 @@
     };
     checkStartTime(command);
     m_guard.describeStart(command.worker.id, { command.order.run, command.order.traits }, term, m_now);
-    if (!isReachable(worker, term)) {
+    if (!isReachable(worker, term) || worker.faults.losesStarts) {
         schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
         return;
     }
+    if (worker.faults.startsExpire) {
+        schedule(relayRefusalDelay, [answer] { answer({ external::order_outcome::Expired, 0 }); });
+        return;
+    }
     if (worker.faults.isDown || worker.faults.isReplaced) {
         schedule(orderDelay, [answer, &worker] { answer({ worker.faults.isDown ? external::order_outcome::NotSent : external::order_outcome::OtherIncarnation, 0 }); });
         return;
