--- a/src/libs/external/run_control.h
+++ b/src/libs/external/run_control.h
@@ -112,6 +112,8 @@
     order_outcome outcome = order_outcome::NoAnswer;
     //! Time of the worker's clock when it answered; 0 if unknown.
     worker_time clock = 0;
+    //! Endpoint of the daemon through which the order was sent; empty if the leader has called the worker itself.
+    std::string relay {};
 };
 
 //! \brief A run that the worker executes.
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -313,7 +313,7 @@
         return;
     const bool isStopping = run->phase == run_phase::Stopping;
     if (reply.outcome != external::order_outcome::Accepted)
-        reportEvent(engine_event_kind::OrderRefused, *run, absl::StrCat("outcome=", std::string(toString(reply.outcome))), reply.outcome == external::order_outcome::Expired);
+        reportEvent(engine_event_kind::OrderRefused, *run, describeReply(worker, reply, now - run->orderedAt), reply.outcome == external::order_outcome::Expired);
     switch (reply.outcome) {
     case external::order_outcome::Accepted:
         confirmStart(*run, reply.clock, now);
@@ -347,7 +347,7 @@
         return;
     case external::order_outcome::StaleRunNumber:
     case external::order_outcome::NoAnswer:
-        reportEvent(engine_event_kind::RunUncertain, *run, std::string(toString(reply.outcome)));
+        reportEvent(engine_event_kind::RunUncertain, *run, describeReply(worker, reply, now - run->orderedAt));
         if (!isStopping) {
             run->phase = run_phase::Uncertain;
             run->phaseSince = now;
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -7,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "external/run_control.h"
 #include "jobs/blocked_demand_model.h"
 #include "jobs/engine_command.h"
@@ -293,6 +295,12 @@
     return count == 0 || count < worker.longestEndList;
 }
 
+//! \brief Reply to a start order that was decided \a age ago, for the log.
+inline std::string describeReply(const worker_state& worker, const external::order_reply& reply, utils::time_point::duration age)
+{
+    return absl::StrCat("outcome=", toString(reply.outcome), " relay=", reply.relay, " data_centre=", worker.description.dataCentre, " age_ms=", std::chrono::duration_cast<utils::milliseconds>(age).count());
+}
+
 inline worker_process processOf(const worker_state& worker)
 {
     return { worker.description.endpoint, worker.description.incarnation, worker.clock };
--- a/src/libs/utils/events.cpp
+++ b/src/libs/utils/events.cpp
@@ -73,6 +73,7 @@
         events::coordinatorLate,
         events::bestEffortHeld,
         events::pauseFailed,
+        events::peerTraffic,
         events::rulesUnconfirmed,
         events::rulesConfirmed,
         events::followerRevisionUnknown,
--- a/src/libs/utils/events.h
+++ b/src/libs/utils/events.h
@@ -119,6 +119,7 @@
     inline constexpr event coordinatorLate { 842, event_severity::Warning, "coordinator_late", "The coordinator ran a timer late, or orders were answered late or not at all, since the last such line." };
     inline constexpr event bestEffortHeld { 843, event_severity::Info, "best_effort_held", "All best-effort runs of a worker are paused, because a service task has missed its latency target for too long." };
     inline constexpr event pauseFailed { 844, event_severity::Warning, "pause_failed", "A worker didn't confirm that it has paused a best-effort run; the next report decides whether the order is repeated." };
+    inline constexpr event peerTraffic { 845, event_severity::Info, "peer_traffic", "Bytes of the messages that this daemon has sent to others since the last such line, by kind." };
 
     inline constexpr event rulesUnconfirmed { 850, event_severity::Warning, "rules_unconfirmed", "Neither the leader nor the store has confirmed this daemon's rules for some time." };
     inline constexpr event rulesConfirmed { 851, event_severity::Info, "rules_confirmed", "The daemon's rules are confirmed again." };
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -23,6 +23,7 @@
     , m_deployment(deployment)
     , m_orderCounters(context.metrics)
     , m_latenessReport(context.metrics, m_orderCounters, tickInterval)
+    , m_peerTraffic(context.metrics)
     , m_tickTimer(loop(), [this] { onTick(); })
 {
 }
@@ -174,7 +175,10 @@
         return;
     }
     const std::string bytes = envelope.SerializeAsString();
-    if (!sender->send(zmq::message_t(bytes.data(), bytes.size())))
+    const bool isSent = sender->send(zmq::message_t(bytes.data(), bytes.size()));
+    if (const auto kind = kindOf(envelope))
+        m_peerTraffic.recordMessage(*kind, bytes.size(), isSent);
+    if (!isSent)
         utils::logEvent(utils::events::peerMessageDropped, { { "peer", endpoint } });
 }
 
@@ -301,6 +305,7 @@
 {
     const auto now = utils::nowIncludingSuspend();
     m_latenessReport.recordTick(now);
+    m_peerTraffic.recordTick(now);
     sendHello(now);
     sendLeaderNotices(now);
     m_rulesFollower->tick(now);
--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -11,6 +11,7 @@
 #include "tasks/coordinator/lateness_report.h"
 #include "tasks/coordinator/leader_term.h"
 #include "tasks/coordinator/leaderless_call_handler.h"
+#include "tasks/coordinator/peer_traffic_report.h"
 #include "tasks/coordinator/relayed_run_control.h"
 #include "tasks/coordinator/rules_follower.h"
 #include "tasks/loop_task.h"
@@ -60,6 +61,7 @@
     std::unique_ptr<external::run_control> m_runControl;
     relayed_order_counters m_orderCounters;
     lateness_report m_latenessReport;
+    peer_traffic_report m_peerTraffic;
     std::unique_ptr<relayed_run_control> m_relayedControl;
     std::unique_ptr<order_relay> m_orderRelay;
     std::unique_ptr<leader_election> m_election;
--- a/src/tasks/coordinator/relayed_run_control.cpp
+++ b/src/tasks/coordinator/relayed_run_control.cpp
@@ -289,7 +289,12 @@
     message.set_lease_end(order.leaseEnd);
     writeTraits(order.traits, *message.mutable_traits());
     enqueue(
-        relayEndpoint, std::move(message), utils::milliseconds(0), [callback = std::move(callback)](const protocol::RunReply& reply, bool) { callback(readOrderReply(reply)); }, order.decidedAt);
+        relayEndpoint, std::move(message), utils::milliseconds(0), [callback = std::move(callback), relayEndpoint](const protocol::RunReply& reply, bool) {
+            auto result = readOrderReply(reply);
+            result.relay = relayEndpoint;
+            callback(result);
+        },
+        order.decidedAt);
 }
 
 void relayed_run_control::stop(const external::worker_address& worker, const external::run_id& run, std::uint64_t fence, std::function<void(external::order_reply)> callback)
--- a/tests/auto/tasks/tst_metrics_page.cpp
+++ b/tests/auto/tasks/tst_metrics_page.cpp
@@ -6,6 +6,7 @@
 #include "external/guarded_store.h"
 #include "external/store_call.h"
 #include "tasks/coordinator/lateness_report.h"
+#include "tasks/coordinator/peer_traffic_report.h"
 #include "tasks/gateway/minion_table.h"
 #include "tasks/gateway/request_state.h"
 #include "gtest/gtest.h"
@@ -64,7 +65,8 @@
         utils::metric_registry registry;
         const relayed_order_counters counters(registry);
         const lateness_report report(registry, counters, utils::milliseconds(50));
-        EXPECT_EQ(expectNames(registry), 5);
+        const peer_traffic_report traffic(registry);
+        EXPECT_EQ(expectNames(registry), 6);
     }
 
     TEST(metrics_page, ListsEachReason)
