--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -23,9 +23,10 @@
     bool losesReplies = false;
     //! Executes start orders, but its replies to them are lost.
     bool losesStartReplies = false;
-    //! Start orders don't arrive: they get no reply, or the relay refuses them as too old.
+    //! Start orders don't arrive: they get no reply, the relay refuses them as too old, or it gets no connection in time.
     bool losesStarts = false;
     bool startsExpire = false;
+    bool refusesConnections = false;
     //! Executes observations, but its replies to them are lost.
     bool losesObserveReplies = false;
     //! Half of the start orders take effect after this delay and get no reply.
--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -233,6 +233,10 @@
         schedule(callTimeout, [answer] { answer({ external::order_outcome::NoAnswer, 0 }); });
         return;
     }
+    if (worker.faults.refusesConnections) {
+        schedule(callTimeout, [answer] { answer({ external::order_outcome::NotSent, 0 }); });
+        return;
+    }
     if (worker.faults.startsExpire) {
         schedule(relayRefusalDelay, [answer] { answer({ external::order_outcome::Expired, 0 }); });
         return;
--- a/tests/auto/jobs/tst_undelivered_starts.cpp
+++ b/tests/auto/jobs/tst_undelivered_starts.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr unsigned taskCount = 6;
+constexpr unsigned taskCount = 2;
+constexpr unsigned farWorkerCount = 40;
 // A task that lasts must run again within this time.
 constexpr utils::milliseconds restartLimit { 6000 };
 constexpr utils::milliseconds settlingTime { 1000 };
@@ -31,6 +32,7 @@
 INSTANTIATE_TEST_SUITE_P(Faults, undelivered_starts,
     testing::Values(path_fault_case { "serviceTasksUnanswered", &worker_faults::losesStarts, true },
         path_fault_case { "serviceTasksExpired", &worker_faults::startsExpire, true },
+        path_fault_case { "serviceTasksNotSent", &worker_faults::refusesConnections, true },
         path_fault_case { "batchTasksUnanswered", &worker_faults::losesStarts, false },
         path_fault_case { "batchTasksExpired", &worker_faults::startsExpire, false }),
     [](const auto& info) { return std::string(info.param.name); });
@@ -41,8 +43,8 @@
 {
     const auto& parameters = GetParam();
     simulated_fleet fleet;
-    for (const char* id : { "far1", "far2", "far3" })
-        fleet.addWorker(id, largeCapacity, "far").faults.*parameters.fault = true;
+    for (unsigned number = 0; number < farWorkerCount; ++number)
+        fleet.addWorker("far" + std::to_string(number), largeCapacity, "far").faults.*parameters.fault = true;
     for (const char* id : { "near1", "near2", "near3" })
         fleet.addWorker(id, smallCapacity, "near");
     fleet.run(settlingTime);
