Jobs: Place no task beyond a path on which orders are late

Cause: the choice of a worker knows nothing of the path to its data centre. A start that doesn't arrive in time (unanswered, refused as too old, or without a connection) is ordered again on the least loaded worker, and those whose leases have expired beyond the link are the least loaded ones. A refusal excludes one worker, of hundreds in the same data centre.

The engine keeps the share of late orders of each data centre, of starts and of observations apart, with a half-life of one second. From a quarter on it counts in the cost of the data centre's workers; they are still used where no other fits. No running task is moved, swapped or rebalanced there.

Ruled out: orders without an answer of their relay; the scraped counters of the leader have none in 35 s.

--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -41,6 +41,7 @@
         known = std::make_unique<worker_state>();
         m_workerList.insert(std::ranges::lower_bound(m_workerList, id, {}, [](const auto* other) { return other->description.id; }), known.get());
         known->description.id = id;
+        known->path = &m_paths[""];
         known->nextObservation = now;
     }
     return *known;
@@ -76,6 +77,7 @@
     const bool isCurrent = worker.incarnation == 0 || worker.incarnation == incarnation;
     known.description = worker;
     known.description.incarnation = incarnation;
+    known.path = &m_paths[worker.dataCentre];
     known.announcedAt = isCurrent ? now : utils::time_point();
     known.capacityRefusedUntil = {};
     known.rejectsOverload = m_rules.rejectsOverload(worker.service);
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -350,6 +350,8 @@
     std::deque<std::string> m_changedJobs;
     //! The same of jobs that have ended.
     std::deque<std::string> m_endedJobs;
+    //! By the name of the data centre.
+    std::map<std::string, data_centre_path> m_paths;
     std::vector<worker_state*> m_workersQueuedForOrders;
     std::vector<roster_worker> m_storedRoster;
     //! Workers that may execute runs of a former leader and haven't answered this one.
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -62,6 +62,8 @@
     // Decisions that depend on elapsed time only are made at intervals, those that replies cause at each call.
     if (now >= m_reviewedAt + reviewInterval) {
         m_reviewedAt = now;
+        for (auto& entry : m_paths)
+            entry.second.cost = pathCost(entry.second, now);
         endRestorationIfComplete(now);
         expireLeases(now);
         // A task that leaves its worker has to be started on another one.
@@ -219,7 +221,7 @@
         return std::nullopt;
     if (spec.isBestEffort && !bestEffortFits(worker, spec, image, m_interference, mode == placement_mode::Strict ? strictHeadroom : relaxedHeadroom))
         return std::nullopt;
-    return placementCost(worker, spec, image, m_interference) + blockedDemandCost(worker, spec, image);
+    return placementCost(worker, spec, image, m_interference) + blockedDemandCost(worker, spec, image) + worker.path->cost;
 }
 
 bool job_engine::isExcluded(const task_state& task, const worker_state& worker, utils::time_point now) const
@@ -270,7 +272,7 @@
     if (target->worker == nullptr || target->worker == run.worker)
         return false;
     const auto& worker = *target->worker;
-    if (isExcluded(task, worker, now) || avoidanceCost(task, worker) > 0 || !costOf(worker, *run.job, run.step, now, placement_mode::Strict))
+    if (isExcluded(task, worker, now) || avoidanceCost(task, worker) > 0 || worker.path->cost > 0 || !costOf(worker, *run.job, run.step, now, placement_mode::Strict))
         return false;
     target->worker = nullptr;
     return true;
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -146,6 +146,8 @@
     queueForOrders(worker);
     // A late answer belongs to an observation that has timed out already. It is ignored unless it lists the worker's
     // runs and ends.
+    if (!reply.isLate)
+        worker.path->observations.record(isLateOutcome(reply.outcome), now);
     if (!reply.isLate)
         (command.isProbe ? worker.isProbePending : worker.isObservePending) = false;
     else if (reply.outcome != external::order_outcome::Accepted)
--- a/src/libs/jobs/job_engine_rebalancing.cpp
+++ b/src/libs/jobs/job_engine_rebalancing.cpp
@@ -114,7 +114,7 @@
         return false;
     const auto& task = run.job->steps[run.step].tasks[run.index];
     auto* target = chooseWorker(*run.job, run.step, task, now, placement_mode::Strict);
-    if (target == nullptr || gain - m_blockedDemand.costOfAdding(target->blockerCounts, antagonists) < minimumMoveGain)
+    if (target == nullptr || target->path->cost > 0 || gain - m_blockedDemand.costOfAdding(target->blockerCounts, antagonists) < minimumMoveGain)
         return false;
     stopRun(run, now, absl::StrCat("moving it unblocks ", static_cast<int>(100 * gain), "% of the best-effort demand on its worker"));
     removeBlockers(run.worker->blockerCounts, antagonists);
@@ -205,7 +205,8 @@
 {
     auto withoutResources = step;
     withoutResources.taskResources = {};
-    return mayPlace(worker, withoutResources, worker.description.service, m_settings, now);
+    // A task that works isn't stopped for a start that may not arrive.
+    return worker.path->cost == 0 && mayPlace(worker, withoutResources, worker.description.service, m_settings, now);
 }
 
 } // namespace camphorsaddle::jobs
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -312,6 +312,7 @@
     if (run == nullptr || (run->phase != run_phase::Starting && run->phase != run_phase::Stopping && !isLateConfirmation))
         return;
     const bool isStopping = run->phase == run_phase::Stopping;
+    worker.path->starts.record(isLateConfirmation || isLateOutcome(reply.outcome), now);
     if (reply.outcome != external::order_outcome::Accepted)
         reportEvent(engine_event_kind::OrderRefused, *run, describeReply(worker, reply, now - run->orderedAt), reply.outcome == external::order_outcome::Expired);
     switch (reply.outcome) {
--- a/src/libs/jobs/job_engine_takeover.cpp
+++ b/src/libs/jobs/job_engine_takeover.cpp
@@ -62,6 +62,7 @@
         if (!worker.endpoint.empty())
             known.description.endpoint = worker.endpoint;
         known.description.dataCentre = worker.dataCentre;
+        known.path = &m_paths[worker.dataCentre];
         known.hasRestarted = worker.hasRestarted;
         // An answer proves what the worker executes, but not when the leases of the former leader end.
         if (hasEndedAsPlanned)
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -11,6 +11,7 @@
 #include "absl/strings/str_cat.h"
 #include "external/run_control.h"
 #include "jobs/blocked_demand_model.h"
+#include "jobs/data_centre_path.h"
 #include "jobs/engine_command.h"
 #include "jobs/interference_model.h"
 #include "jobs/job.h"
@@ -200,6 +201,8 @@
 
 struct worker_state {
     worker_description description;
+    //! Path to its data centre.
+    data_centre_path* path = nullptr;
     bool isAnnounced = false;
     //! When a renewal of its directory entry arrived last; the epoch before an entry of the current incarnation.
     utils::time_point announcedAt;
