--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -7,8 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "external/run_control.h"
 #include "jobs/blocked_demand_model.h"
+#include "jobs/data_centre_path.h"
 #include "jobs/engine_command.h"
 #include "jobs/engine_settings.h"
 #include "jobs/interference_model.h"
@@ -199,6 +202,8 @@
 
 struct worker_state {
     worker_description description;
+    //! Path to its data centre.
+    data_centre_path* path = nullptr;
     bool isAnnounced = false;
     //! When a renewal of its directory entry arrived last; the epoch before an entry of the current incarnation.
     utils::time_point announcedAt;
@@ -294,6 +299,12 @@
     return count == 0 || count < settings.endsPerReport.value_or(worker.longestEndList);
 }
 
+//! \brief Reply to a start order that was decided \a age ago, for the log.
+inline std::string describeReply(const worker_state& worker, const external::order_reply& reply, utils::time_point::duration age)
+{
+    return absl::StrCat("outcome=", toString(reply.outcome), " relay=", reply.relay, " data_centre=", worker.description.dataCentre, " age_ms=", std::chrono::duration_cast<utils::milliseconds>(age).count());
+}
+
 inline worker_process processOf(const worker_state& worker)
 {
     return { worker.description.endpoint, worker.description.incarnation, worker.clock };
