Jobs, tests: Show that the rebalancing leaves most of its share unused

The tests demand that a round of the rebalancing moves the 5% of the service tasks that may move at a time, evaluates each task once for each image, gathers the tasks within the time in which that share can move all of them, and ends then.

They fail on this code: 16 of 60 and 38 of 240 permitted moves in the first round of 300 and 1,200 workers; 346, 3,424 and 25,232 evaluations instead of 240, 2,400 and 9,600 for 30, 300 and 1,200 workers; after 20 s 459 of 1,200 workers are open to each image, 480 wanted. The counter of the evaluations is new.

--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -382,6 +382,11 @@
     return m_evaluatedPlacements;
 }
 
+std::uint64_t job_engine::evaluatedMoves() const
+{
+    return m_evaluatedMoves;
+}
+
 std::uint64_t job_engine::waitingChecks() const
 {
     return m_waitingChecks;
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -115,6 +115,8 @@
     bool isDeposed() const;
     //! \brief Total number of evaluations of a worker as a place for a task.
     std::uint64_t evaluatedPlacements() const;
+    //! \brief Total number of evaluations of a move of a service task, alone or in a swap, by the rebalancing.
+    std::uint64_t evaluatedMoves() const;
     //! \brief Total number of checks whether a task waits for a start.
     std::uint64_t waitingChecks() const;
     //! \brief Total number of checks whether a worker needs orders.
@@ -377,6 +379,7 @@
     utils::time_point m_reviewedAt;
     utils::time_point m_stallsReviewedAt;
     mutable std::uint64_t m_evaluatedPlacements = 0;
+    std::uint64_t m_evaluatedMoves = 0;
     mutable std::uint64_t m_waitingChecks = 0;
     std::uint64_t m_orderChecks = 0;
     //! Whether anything changed that may let a waiting task start.
--- a/src/libs/jobs/job_engine_rebalancing.cpp
+++ b/src/libs/jobs/job_engine_rebalancing.cpp
@@ -113,6 +113,7 @@
     if (gain < minimumMoveGain)
         return false;
     const auto& task = run.job->steps[run.step].tasks[run.index];
+    m_evaluatedMoves += m_workerList.size();
     auto* target = chooseWorker(*run.job, run.step, task, now, placement_mode::Strict);
     if (target == nullptr || gain - m_blockedDemand.costOfAdding(target->blockerCounts, antagonists) < minimumMoveGain)
         return false;
@@ -144,6 +145,7 @@
             continue;
         if (++candidates > maximumSwapCandidates)
             break;
+        ++m_evaluatedMoves;
         const auto& otherSpec = other->job->spec.steps[other->step];
         const double gain = m_blockedDemand.gainOfSwapping(run.worker->blockerCounts, antagonists, other->worker->blockerCounts, m_interference.antagonists(other->image));
         if (gain <= bestGain || !fits(run, otherSpec) || !fits(*other, spec))
