--- a/tests/auto/jobs/tst_exchange_search.cpp
+++ b/tests/auto/jobs/tst_exchange_search.cpp
@@ -95,7 +95,7 @@
 
 class exchange_of_places : public testing::TestWithParam<fleet_size> {
 protected:
-    static constexpr unsigned s_seedCount = 20;
+    static constexpr unsigned seedCount = 20;
 
     static random_fleet fleet(unsigned seed)
     {
@@ -109,7 +109,7 @@
 
 TEST_P(exchange_of_places, OffersTheBestOfAllPairsFirst)
 {
-    for (unsigned seed = 0; seed < s_seedCount; ++seed) {
+    for (unsigned seed = 0; seed < seedCount; ++seed) {
         const auto fleet = this->fleet(seed);
         auto search = fleet.search();
         double value = 0;
@@ -123,7 +123,7 @@
 
 TEST_P(exchange_of_places, OffersWorthwhileExchangesOfDifferentWorkers)
 {
-    for (unsigned seed = 0; seed < s_seedCount; ++seed) {
+    for (unsigned seed = 0; seed < seedCount; ++seed) {
         const auto fleet = this->fleet(seed);
         auto search = fleet.search();
         std::set<const worker_state*> exchanged;
