--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins-2/run-scenario" crashes-of-lasting-task "$(dirname "$0")"
+exec "$(dirname "$0")/../standins-2/run-scenario" frozen-relay "$(dirname "$0")"
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -192,6 +192,15 @@
         return false;
     }
 
+    //! Ends all processes and minions, so that nothing is called any more.
+    void stop()
+    {
+        for (auto& daemon : daemons)
+            daemon->kill();
+        for (auto& known : minions)
+            known->crash();
+    }
+
     //! The minion that runs a task of the job now; nullptr if none does within \a limit.
     minion* waitForRun(const std::string& job, ms limit)
     {
--- a/review/standins-2/minion.h
+++ b/review/standins-2/minion.h
@@ -144,16 +144,29 @@
 
     //! Called with each start that this minion carries out: its present kind, the task and the number of the run.
     std::function<void(const minion_kind&, const std::string&, std::uint64_t)> onStart;
+    //! Called with each end of a run, and with each end that LastSeen has reached: the task, the number of the run and how it ended.
+    std::function<void(const std::string&, std::uint64_t, const std::string&)> onEnd;
+    std::function<void(const std::string&, std::uint64_t, const std::string&)> onNoted;
+    //! One-way delay of the network to the daemons.
+    ms networkDelay { 0 };
+
+    //! Number of observations that wait for an end here.
+    int openHolds() const
+    {
+        return m_openHolds;
+    }
+
     //! May answer an order in the minion's place.
     std::function<std::optional<response>(minion&, const request&)> disturb;
 
     response handle(const request& call)
     {
-        if (disturb) {
-            if (auto answer = disturb(*this, call))
-                return *answer;
-        }
-        return execute(call);
+        std::this_thread::sleep_for(networkDelay);
+        auto answer = disturb ? disturb(*this, call) : std::nullopt;
+        if (!answer)
+            answer = execute(call);
+        std::this_thread::sleep_for(networkDelay);
+        return *answer;
     }
 
     response execute(const request& call)
@@ -272,13 +285,19 @@
     response hold(const json& body, std::unique_lock<std::mutex>& lock)
     {
         const auto seen = body.value("LastSeen", std::uint64_t(0));
+        for (const auto& end : m_ends) {
+            if (end.number <= seen && onNoted)
+                onNoted(end.task, end.run, end.how);
+        }
         std::erase_if(m_ends, [&](const run_end& end) { return end.number <= seen; });
         if (body.contains("UntilMs"))
             extendLease(body.at("UntilMs").get<std::int64_t>());
         const auto born = m_born;
         const auto until = clock::now() + std::min(ms(body.value("WaitMs", std::int64_t(0))), ms(2000));
+        ++m_openHolds;
         while (m_isUp && m_born == born && m_ends.empty() && clock::now() < until)
             m_changed.wait_until(lock, until);
+        --m_openHolds;
         if (!m_isUp || m_born != born)
             return { -1, {} };
         if (m_isCutOff)
@@ -299,6 +318,8 @@
         m_ends.push_back({ ++m_lastEnd, ended.task, ended.number, how });
         auto& closed = m_closed[ended.task];
         closed = std::max(closed, ended.number);
+        if (onEnd)
+            onEnd(ended.task, ended.number, how);
         m_record.add("run " + ended.task + "/" + std::to_string(ended.number) + " ends " + how + " on minion " + m_id);
     }
 
@@ -368,6 +389,7 @@
     std::uint64_t m_highestFence = 0;
     std::int64_t m_leaseEnd = 0;
     std::uint64_t m_lastEnd = 0;
+    std::atomic<int> m_openHolds = 0;
     std::vector<run> m_runs;
     std::vector<run_end> m_ends;
     std::map<std::string, std::uint64_t> m_closed;
--- a/review/standins-2/scenarios.cpp
+++ b/review/standins-2/scenarios.cpp
@@ -25,21 +25,18 @@
 
     int couldNotRun(deployment& system, const std::string& cause)
     {
+        system.stop();
         system.log.add("RESULT could not run: " + cause);
         return 2;
     }
 
     int judge(deployment& system, bool isBroken, const std::string& what)
     {
+        system.stop();
         system.log.add(std::string("RESULT ") + (isBroken ? "broken: " : "held: ") + what);
         return isBroken ? 1 : 0;
     }
 
-    std::string stateOf(const response& answer)
-    {
-        return answer.status == 200 ? json::parse(answer.body).value("State", "") : std::to_string(answer.status);
-    }
-
     std::string jobBody(json step)
     {
         return json { { "Spec", "watch" }, { "Steps", { std::move(step) } } }.dump();
@@ -65,41 +62,6 @@
         };
     }
 
-    // A job with a lasting task; the minion that runs it crashes some seconds after each start, and comes back.
-    int runCrashesOfLastingTask(deployment& system)
-    {
-        constexpr int crashes = 4;
-        constexpr int minionCount = 8;
-        system.writeConfiguration(3);
-        addDaemons(system);
-        for (int number = 0; number < minionCount; ++number)
-            system.addMinion({ { "a", "r" + std::to_string(number) } }, lasting(), sized(2000, 1024));
-        if (!system.start())
-            return couldNotRun(system, "the daemons aren't ready");
-        auto& front = *system.daemons[0];
-        if (front.send("POST", jobId, jobBody({ { "Count", 1 }, { "Cpu", 2000 }, { "MemMb", 1024 }, { "EstimateMs", 1000 }, { "LongRunning", true } })).status != 200)
-            return couldNotRun(system, "the job wasn't accepted");
-        for (int crash = 0; crash < crashes; ++crash) {
-            auto* worker = system.waitForRun(jobId, ms(15'000));
-            if (worker == nullptr)
-                break;
-            wait(3000);
-            if (!hasTrouble())
-                continue;
-            const auto kind = worker->kind();
-            worker->crash();
-            wait(2000);
-            worker->start(kind);
-            wait(4500);
-        }
-        wait(5000);
-        std::string state;
-        for (auto& daemon : system.daemons)
-            state = stateOf(daemon->send("GET", jobId));
-        const bool isRunning = system.waitForRun(jobId, ms(10'000)) != nullptr;
-        return judge(system, state == "failed" || state == "completed" || state == "cancelled", "the job is shown as " + state + ", its task " + (isRunning ? "runs" : "doesn't run") + "; no run has ended failed");
-    }
-
     // A lasting task needs a minion of kind a. The one that runs it crashes behind a cut from the store and starts again there as one of
     // kind b, which the daemons reach.
     int runRestartAsOtherKind(deployment& system)
@@ -427,14 +389,139 @@
         return judge(system, machines >= 2, std::to_string(machines) + " machines with three processes that ended by themselves");
     }
 
+    //! Watches for starts of a task after a run of it has ended done, if that end is taken note of then or later.
+    class done_watch {
+    public:
+        explicit done_watch(deployment& system)
+            : m_log(system.log)
+        {
+            for (auto& known : system.minions) {
+                known->onStart = [this](const minion_kind&, const std::string& task, std::uint64_t run) {
+                    const std::lock_guard lock(m_mutex);
+                    if (m_done.contains(task))
+                        m_startsAfterDone[task] = run;
+                    judge(task);
+                };
+                known->onEnd = [this](const std::string& task, std::uint64_t run, const std::string& how) {
+                    const std::lock_guard lock(m_mutex);
+                    if (how == "done")
+                        m_done.emplace(task, run);
+                };
+                known->onNoted = [this](const std::string& task, std::uint64_t run, const std::string& how) {
+                    const std::lock_guard lock(m_mutex);
+                    if (how == "done")
+                        m_noted.emplace(task, run);
+                    judge(task);
+                };
+            }
+        }
+
+        int violations()
+        {
+            const std::lock_guard lock(m_mutex);
+            return static_cast<int>(m_reported.size());
+        }
+
+    private:
+        void judge(const std::string& task)
+        {
+            const auto start = m_startsAfterDone.find(task);
+            const auto done = m_done.find(task);
+            const auto noted = m_noted.find(task);
+            if (start == m_startsAfterDone.end() || noted == m_noted.end() || noted->second != done->second || !m_reported.insert(task).second)
+                return;
+            m_log.add("TWICE: run " + task + "/" + std::to_string(start->second) + " has started after run " + std::to_string(done->second) + " had ended done, which was taken note of");
+        }
+
+        record& m_log;
+        std::mutex m_mutex;
+        std::map<std::string, std::uint64_t> m_done;
+        std::map<std::string, std::uint64_t> m_noted;
+        std::map<std::string, std::uint64_t> m_startsAfterDone;
+        std::set<std::string> m_reported;
+    };
+
+    // A daemon that isn't the leader stands still for 4 s, while a minion crashes and comes back; so eleven times.
+    int runFrozenRelay(deployment& system)
+    {
+        constexpr int minionCount = 8;
+        constexpr int rounds = 11;
+        // One way between regions; the store takes 4 ms for an answer.
+        constexpr ms regionDelay { 12 };
+        constexpr ms storeDelay { 2 * regionDelay.count() + 4 };
+        system.writeConfiguration(4);
+        const auto delayed = [storeDelay](const request&) -> std::optional<response> {
+            std::this_thread::sleep_for(storeDelay);
+            return std::nullopt;
+        };
+        // 0.8 s on average.
+        const auto work = [](const std::string& task) {
+            return task_work { false, ms(600 + std::hash<std::string>()(task) % 400) };
+        };
+        auto& leader = system.addDaemon("puntarenas", delayed);
+        auto& follower = system.addDaemon("puntarenas", delayed);
+        for (int number = 0; number < minionCount; ++number) {
+            system.addMinion({ { "a", "r" + std::to_string(number) }, 32000, 125000 }, work, sized(2300, 4000));
+            system.minions.back()->networkDelay = regionDelay;
+        }
+        done_watch watch(system);
+        // The daemon that starts first leads.
+        leader.start();
+        wait(1500);
+        follower.start();
+        for (int tries = 0; tries < 100 && !(leader.isReady() && follower.isReady()); ++tries)
+            wait(100);
+        if (!leader.isReady() || !follower.isReady())
+            return couldNotRun(system, "the daemons aren't ready");
+        wait(2000);
+        std::atomic<bool> isEnding = false;
+        std::vector<std::thread> clients;
+        for (int client = 0; client < 12; ++client) {
+            clients.emplace_back([&, client] {
+                for (int number = 0; !isEnding; ++number) {
+                    char id[17];
+                    std::snprintf(id, sizeof(id), "%04x%012x", client, number);
+                    leader.send("POST", id, jobBody({ { "Count", 6 }, { "Cpu", 2300 }, { "MemMb", 4000 }, { "EstimateMs", 800 } }));
+                    wait(560 + 17 * client);
+                }
+            });
+        }
+        wait(8000);
+        for (int round = 0; round < rounds; ++round) {
+            if (!hasTrouble()) {
+                wait(7500);
+                continue;
+            }
+            follower.signal(SIGSTOP);
+            wait(150);
+            minion* crashing = system.minions[static_cast<std::size_t>(round) % minionCount].get();
+            for (auto& known : system.minions) {
+                if (known->openHolds() == 0 && known->runsOf("").size() > crashing->runsOf("").size())
+                    crashing = known.get();
+            }
+            const auto kind = crashing->kind();
+            crashing->crash();
+            wait(1000);
+            crashing->start(kind);
+            wait(2850);
+            follower.signal(SIGCONT);
+            wait(3500);
+        }
+        isEnding = true;
+        for (auto& client : clients)
+            client.join();
+        wait(5000);
+        return judge(system, watch.violations() > 0, std::to_string(watch.violations()) + " tasks started after they had ended done");
+    }
+
     int run(const std::string& name, deployment& system)
     {
-        if (name == "crashes-of-lasting-task")
-            return runCrashesOfLastingTask(system);
         if (name == "restart-as-other-kind")
             return runRestartAsOtherKind(system);
         if (name == "late-renewal-after-restart")
             return runLateRenewalAfterRestart(system);
+        if (name == "frozen-relay")
+            return runFrozenRelay(system);
         if (name == "malformed-path")
             return runMalformedPath(system);
         if (name == "late-start-after-restart")
