--- a/review/standins-2/minion.h
+++ b/review/standins-2/minion.h
@@ -68,7 +68,6 @@
             m_born = std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch()).count();
             m_isUp = true;
             m_nextBeat = clock::now();
-            m_lastBeat = clock::now();
             m_highestFence = 0;
             m_leaseEnd = 0;
             m_lastEnd = 0;
