Jobs: Log the ends that a worker has forgotten before the leader received them

Change: a process numbers its ends without gaps, and the leader acknowledges in order what it has received. A list that begins beyond the last received number + 1 shows that someone else's acknowledgement, or one meant for another process, was executed. The leader logs "ends_forgotten" once, with the worker, its process and both numbers. Of a process that a former leader may have acknowledged ends of, only later gaps count.

--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -283,6 +283,8 @@
     //! \brief Has the worker tell its incarnation, and acknowledges no ends until then.
     void queryIncarnation(worker_state& worker, utils::time_point now);
     //! \brief Notes that an order which was sent at the given time got no answer.
+    //! \brief Logs ends that the worker has forgotten before this leader has received them.
+    void reportForgottenEnds(const worker_state& worker, const std::vector<external::run_end>& ended);
     void noteUnansweredOrder(worker_state& worker, utils::time_point sentAt);
     void recordReport(worker_state& worker, const external::observe_reply& reply, utils::time_point sentAt, utils::time_point now);
     void adoptPace(run_state& run, std::optional<int> pace, utils::time_point now);
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -90,6 +90,7 @@
         closeRunsAsLost(worker, worker_loss::Restarted, now, "its worker restarted");
         worker.hasAcceptedTerm = false;
         worker.hasRestarted = true;
+        worker.hasBegunInTerm = true;
     }
     if (!worker.isIncarnationGuessed)
         worker.highestFormerIncarnation = std::max(worker.highestFormerIncarnation, worker.description.incarnation);
@@ -255,6 +256,7 @@
     withdrawWaitPromise(worker);
     if (isInOrder)
         confirmRuns(worker, workerState.ended.size(), now);
+    reportForgottenEnds(worker, workerState.ended);
     for (const auto& end : workerState.ended)
         handleRunEnd(worker, end, now);
     if (isInOrder)
@@ -262,6 +264,18 @@
     acknowledgeEnds(worker);
 }
 
+// A process numbers its ends without gaps, and forgets those that were acknowledged. Runs with ends that this leader hasn't received count as
+// lost and start again.
+void job_engine::reportForgottenEnds(const worker_state& worker, const std::vector<external::run_end>& ended)
+{
+    const bool hasReceivedAll = worker.hasBegunInTerm || worker.lastEnd > 0;
+    if (!hasReceivedAll || ended.empty())
+        return;
+    const auto first = std::ranges::min(ended, {}, &external::run_end::number).number;
+    if (first > worker.lastEnd + 1)
+        reportEvent(engine_event_kind::EndsForgotten, worker, absl::StrCat("first=", worker.lastEnd + 1, " last=", first - 1, " life=", worker.description.incarnation, " acknowledged=", worker.acknowledgedEnd));
+}
+
 // A list that has grown proves that the former one was complete. The runs of the former report and their ends are known.
 void job_engine::confirmRuns(worker_state& worker, std::size_t endCount, utils::time_point now)
 {
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -225,6 +225,8 @@
     utils::time_point incarnationSeenAt;
     //! Only its clock has shown the present process so far; the incarnation stands for the one that an observation will tell.
     bool isIncarnationGuessed = false;
+    //! Its present process has begun in this term, so that this leader has acknowledged all ends that the process has forgotten.
+    bool hasBegunInTerm = false;
     //! An earlier process of it is known, be it to a former leader.
     bool hasRestarted = false;
     //! Highest of its former incarnations; 0 if none is known.
--- a/tests/auto/jobs/replying_worker.h
+++ b/tests/auto/jobs/replying_worker.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jobs/job_engine.h"
@@ -13,8 +15,8 @@
 //! The leader, and worker w0 of which the test gives the replies. Worker w1 always answers at once.
 class replying_worker {
 public:
-    replying_worker()
-        : m_engine({}, 1, [](const engine_event&) {})
+    explicit replying_worker(std::function<void(const engine_event&)> onEvent = [](const engine_event&) {})
+        : m_engine({}, 1, std::move(onEvent))
     {
         m_engine.setRules(std::make_shared<const deployment_rules>(defaultRules()));
         m_engine.beginTerm({}, m_now);
