Jobs, coordinator: Raise a worker's fencing token for each of its processes

Cause: an order names a worker, which keeps its id over a restart, and its fencing token was the leader's term, so that nothing told an order for the former process from one for the present one. A daemon that had been stopped for 3.9 s carried out an observation with the number of the former process's last end; the present one forgot its ends up to that number, some of which nobody had received.

Change: the leader raises the worker's token when it learns of another process (entry, report, clock of a reply) and when an order gets no answer. A process that has executed an order that was decided afterwards rejects all earlier ones, acknowledgements, renewals, starts, stops and paces alike, relayed or direct, however late they are. A term has 10,000 tokens for each worker and terms are as far apart. Messages to relays keep the term and have the raise in a field of its own; a relay of an older version gets no order with a raised token. A rejected token ends the term only if it was the worker's present one.

Why it works: a run that was ordered for a process brings the higher token with it, so that the process has no end of such a run that an earlier order could reach.

Tests that were changed: terms are 10,000 apart, so that expected terms are multiples (former_leaders, coordinator_parts, repeated_takeovers, lead_transfer). ListedRunIsSkippedBecauseItsNumberIsClosed demanded that a late start causes a violation, which the token prevents: its scenario now demands none (StopOfTheFormerProcessIsForgotten), and the listing of a closed run is given by a worker under test control. Orders made up by RunsAreLostWhenAnotherWorkerAnswersAtTheFormerAddress have the worker's token.

--- a/src/libs/jobs/engine_command.h
+++ b/src/libs/jobs/engine_command.h
@@ -28,12 +28,14 @@
     external::worker_address worker;
     external::run_id run;
     worker_process process;
+    std::uint64_t fence = 0;
 };
 
 struct pace_command {
     external::worker_address worker;
     external::run_id run;
     int percent = 100;
+    std::uint64_t fence = 0;
 };
 
 struct observe_command {
--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -43,6 +43,8 @@
         known->description.id = id;
         known->path = &m_paths[""];
         known->nextObservation = now;
+        known->fence = m_term;
+        known->processFence = m_term;
     }
     return *known;
 }
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -120,7 +120,8 @@
     std::size_t unfinishedJobCount() const;
     //! \brief Whether workers may execute runs of former leaders that this one doesn't know.
     bool isRestoring() const;
-    //! \brief Whether a worker has rejected an order because it knows a higher fencing token, that of a newer leader.
+    //! \brief Whether a worker has rejected an order because it knows a higher fencing token, that of a newer leader, or the term has no
+    //! further token for a worker.
     bool isDeposed() const;
     //! \brief Total number of evaluations of a worker as a place for a task.
     std::uint64_t evaluatedPlacements() const;
@@ -286,6 +287,11 @@
     //! \brief Logs ends that the worker has forgotten before this leader has received them.
     void reportForgottenEnds(const worker_state& worker, const std::vector<external::run_end>& ended);
     void noteUnansweredOrder(worker_state& worker, utils::time_point sentAt);
+    //! \brief Gives the orders to the worker that are decided from now on a higher fencing token than those before. Ends the term if it
+    //! has no further ones.
+    void raiseFence(worker_state& worker);
+    //! \brief Whether the outcome of an order with the given token shows that another leader has begun a term.
+    bool isDeposedBy(const worker_state& worker, external::order_outcome outcome, std::uint64_t fence);
     void recordReport(worker_state& worker, const external::observe_reply& reply, utils::time_point sentAt, utils::time_point now);
     void adoptPace(run_state& run, std::optional<int> pace, utils::time_point now);
     std::vector<external::described_run> describeRuns(const worker_state& worker) const;
--- a/src/libs/jobs/job_engine_decisions.cpp
+++ b/src/libs/jobs/job_engine_decisions.cpp
@@ -435,7 +435,8 @@
         updateServiceHeadrooms(worker, m_interference);
     }
     run.checkpoint = spec.hasCheckpoints ? task.checkpoint : std::string();
-    commands.push_back(start_command { { worker.description.id, worker.description.endpoint }, { idOf(run), job.spec.payload, run.checkpoint, grantLease(worker, now), m_term, traitsOf(run) } });
+    run.fence = worker.fence;
+    commands.push_back(start_command { { worker.description.id, worker.description.endpoint }, { idOf(run), job.spec.payload, run.checkpoint, grantLease(worker, now), run.fence, traitsOf(run) } });
 }
 
 void job_engine::appendStopCommands(worker_state& worker, utils::time_point now, std::vector<engine_command>& commands)
@@ -447,14 +448,14 @@
             continue;
         run->stopSentAt = now;
         run->isStopOrderPending = true;
-        commands.push_back(stop_command { { worker.description.id, worker.description.endpoint }, idOf(*run), processOf(worker) });
+        commands.push_back(stop_command { { worker.description.id, worker.description.endpoint }, idOf(*run), processOf(worker), worker.fence });
     }
     for (auto& start : worker.rejectedStarts) {
         const bool isDue = start.stopSentAt == utils::time_point() || now >= start.stopSentAt + m_settings.stopRetryInterval;
         if (!start.needsStop || !isDue || now > start.until || findRun(worker, start.run) != nullptr)
             continue;
         start.stopSentAt = now;
-        commands.push_back(stop_command { { worker.description.id, worker.description.endpoint }, start.run, processOf(worker) });
+        commands.push_back(stop_command { { worker.description.id, worker.description.endpoint }, start.run, processOf(worker), worker.fence });
     }
 }
 
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -90,11 +90,12 @@
         closeRunsAsLost(worker, worker_loss::Restarted, now, "its worker restarted");
         worker.hasAcceptedTerm = false;
         worker.hasRestarted = true;
-        worker.hasBegunInTerm = true;
     }
     if (!worker.isIncarnationGuessed)
         worker.highestFormerIncarnation = std::max(worker.highestFormerIncarnation, worker.description.incarnation);
     worker.isIncarnationGuessed = false;
+    raiseFence(worker);
+    worker.processFence = worker.fence;
     worker.description.incarnation = incarnation;
     worker.incarnationSeenAt = now;
     // The new process may have another capacity.
@@ -136,8 +137,32 @@
         m_unconfirmedWorkers.erase(unconfirmed);
 }
 
+// A worker's process that has executed an order executes none with a lower token. So orders for a former process, which may arrive at any time,
+// have no effect on the ends, leases and runs of the next one.
+void job_engine::raiseFence(worker_state& worker)
+{
+    if (worker.fence + 1 >= m_term + fencesPerTerm) {
+        m_isDeposed = true;
+        m_onEvent({ engine_event_kind::Deposed, "", "", worker.description.id, absl::StrCat("term=", m_term, " fence=", worker.fence, " next=none") });
+        return;
+    }
+    ++worker.fence;
+}
+
+// An order that was decided before the token was raised may be rejected, though this leader is the last one.
+bool job_engine::isDeposedBy(const worker_state& worker, external::order_outcome outcome, std::uint64_t fence)
+{
+    if (outcome != external::order_outcome::Fenced || fence < worker.fence)
+        return false;
+    m_isDeposed = true;
+    m_onEvent({ engine_event_kind::Deposed, "", "", worker.description.id, absl::StrCat("term=", m_term, " fence=", fence) });
+    return true;
+}
+
 void job_engine::noteUnansweredOrder(worker_state& worker, utils::time_point sentAt)
 {
+    if (!worker.mayHaveRestarted)
+        raiseFence(worker);
     worker.mayHaveRestarted = true;
     worker.unansweredOrderSentAt = std::max(worker.unansweredOrderSentAt, sentAt);
 }
@@ -184,12 +209,10 @@
         (command.isProbe ? worker.isProbePending : worker.isObservePending) = false;
     else if (reply.outcome != external::order_outcome::Accepted)
         return;
-    if (reply.outcome == external::order_outcome::Fenced) {
-        m_isDeposed = true;
-        m_onEvent({ engine_event_kind::Deposed, "", "", workerId, absl::StrCat("term=", m_term) });
+    if (isDeposedBy(worker, reply.outcome, command.order.fence))
         return;
-    }
-    if (reply.outcome != external::order_outcome::Accepted && !isPresentProcess(worker, command.process)) {
+    const bool concernsFormerProcess = reply.outcome != external::order_outcome::Accepted && !isPresentProcess(worker, command.process);
+    if (concernsFormerProcess || reply.outcome == external::order_outcome::Fenced) {
         worker.nextObservation = now;
         return;
     }
@@ -252,7 +275,7 @@
     reviewSuspectRun(worker, now);
     if (!worker.hasAcceptedTerm)
         worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, now + m_settings.maximumLeaseDuration(m_settings.leaseDuration));
-    worker.hasAcceptedTerm = true;
+    worker.hasAcceptedTerm = worker.hasAcceptedTerm || command.order.fence >= worker.processFence;
     withdrawWaitPromise(worker);
     if (isInOrder)
         confirmRuns(worker, workerState.ended.size(), now);
@@ -268,7 +291,9 @@
 // lost and start again.
 void job_engine::reportForgottenEnds(const worker_state& worker, const std::vector<external::run_end>& ended)
 {
-    const bool hasReceivedAll = worker.hasBegunInTerm || worker.lastEnd > 0;
+    // A former leader may have acknowledged the ends of a process that has begun before the term.
+    const bool hasBegunInTerm = worker.processFence > m_term;
+    const bool hasReceivedAll = hasBegunInTerm || worker.lastEnd > 0;
     if (!hasReceivedAll || ended.empty())
         return;
     const auto first = std::ranges::min(ended, {}, &external::run_end::number).number;
@@ -425,7 +450,7 @@
     const bool isNeeded = mayHaveRuns || worker.lastEnd > worker.acknowledgedEnd || (!worker.hasAcceptedTerm && worker.isAnnounced);
     const auto order = [&](utils::milliseconds wait) {
         const bool mayAcknowledge = !worker.mayHaveRestarted && worker.acknowledgedEnd > worker.forgottenEnd;
-        external::observe_order result { mayAcknowledge ? worker.acknowledgedEnd : 0, m_term, 0, wait, {} };
+        external::observe_order result { mayAcknowledge ? worker.acknowledgedEnd : 0, worker.fence, 0, wait, {} };
         if (std::exchange(worker.needsDescriptions, false))
             result.described = describeRuns(worker);
         // The lease of an unresponsive worker isn't renewed, so that its tasks may start elsewhere after it has
--- a/src/libs/jobs/job_engine_pacing.cpp
+++ b/src/libs/jobs/job_engine_pacing.cpp
@@ -95,7 +95,7 @@
 {
     const auto& worker = *run.worker;
     run.isPaceOrderPending = true;
-    commands.push_back(pace_command { { worker.description.id, worker.description.endpoint }, idOf(run), percent });
+    commands.push_back(pace_command { { worker.description.id, worker.description.endpoint }, idOf(run), percent, worker.fence });
     reportEvent(engine_event_kind::PaceOrdered, run, absl::StrCat("pace=", percent, " former=", run.isPaceKnown ? run.pace : -1, " report_age_ms=", utils::millisecondsBetween(worker.reportSentAt, now).count()), true);
 }
 
--- a/src/libs/jobs/job_engine_runs.cpp
+++ b/src/libs/jobs/job_engine_runs.cpp
@@ -315,14 +315,12 @@
     worker.path->starts.record(isLateConfirmation || isLateOutcome(reply.outcome), now);
     if (reply.outcome != external::order_outcome::Accepted)
         reportEvent(engine_event_kind::OrderRefused, *run, describeReply(worker, reply, now - run->orderedAt), reply.outcome == external::order_outcome::Expired);
+    if (isDeposedBy(worker, reply.outcome, run->fence))
+        return;
     switch (reply.outcome) {
     case external::order_outcome::Accepted:
         confirmStart(*run, reply.clock, now);
         return;
-    case external::order_outcome::Fenced:
-        m_isDeposed = true;
-        m_onEvent({ engine_event_kind::Deposed, "", "", workerId, absl::StrCat("term=", m_term) });
-        return;
     case external::order_outcome::InsufficientCapacity:
         worker.capacityRefusedUntil = now + m_settings.refusedCapacityDelay;
         worker.needsProbe = true;
@@ -334,6 +332,7 @@
         worker.reliability.recordRefusal(now);
         closeRefusedRun(*run, now);
         return;
+    case external::order_outcome::Fenced:
     case external::order_outcome::Expired:
         // The worker isn't at fault. A leader or relay that is late would drop an immediate repetition too.
         taskOf(*run).notBefore = now + expiredStartDelay;
@@ -413,11 +412,8 @@
         return;
     auto& worker = *found->second;
     handleReplyClock(worker, command.process, reply.clock, now);
-    if (reply.outcome == external::order_outcome::Fenced) {
-        m_isDeposed = true;
-        m_onEvent({ engine_event_kind::Deposed, "", "", workerId, absl::StrCat("term=", m_term) });
+    if (isDeposedBy(worker, reply.outcome, command.fence))
         return;
-    }
     queueForOrders(worker);
     if (reply.outcome == external::order_outcome::Accepted && command.process.incarnation == worker.description.incarnation) {
         for (auto& start : worker.rejectedStarts)
--- a/src/libs/jobs/job_engine_takeover.cpp
+++ b/src/libs/jobs/job_engine_takeover.cpp
@@ -48,7 +48,7 @@
     const auto leaseTime = m_settings.maximumLeaseDuration(m_settings.leaseDuration);
     // A worker that can be reached gets the time to answer, even if all leases have expired while the jobs were loaded.
     const auto formerLeaseEnd = std::max(m_lastFormerRenewal.value_or(now) + m_settings.formerLeaderGracePeriod + leaseTime, now + m_settings.shortestTakeoverWait);
-    const bool hasEndedAsPlanned = roster.endedTerm != 0 && roster.endedTerm + 1 == m_term;
+    const bool hasEndedAsPlanned = roster.endedTerm != 0 && roster.endedTerm + fencesPerTerm == m_term;
     for (const auto& worker : roster.workers) {
         const auto silent = roster.silent.find(worker.id);
         if (!hasEndedAsPlanned)
@@ -61,7 +61,7 @@
         auto& known = ensureWorker(worker.id, now);
         auto& unconfirmed = m_unconfirmedWorkers.at(worker.id);
         unconfirmed.nextPromiseAt = now + m_settings.shortestTakeoverWait;
-        if (!hasEndedAsPlanned && worker.silentTerm != 0 && worker.silentTerm + 1 == m_term) {
+        if (!hasEndedAsPlanned && worker.silentTerm != 0 && worker.silentTerm + fencesPerTerm == m_term) {
             unconfirmed.promisedUntil = now + std::max(worker.waitLeft, m_settings.shortestTakeoverWait);
             unconfirmed.nextPromiseAt = now;
         }
--- a/src/libs/jobs/job_record.h
+++ b/src/libs/jobs/job_record.h
@@ -59,6 +59,11 @@
     auto operator<=>(const job_progress&) const = default;
 };
 
+//! \brief Number of fencing tokens that a term has for each worker, and so the difference between the numbers of two successive terms.
+//!
+//! The first token of a term is its number. A daemon of an older version that leads next takes the next number.
+inline constexpr std::uint64_t fencesPerTerm = 10'000;
+
 //! \brief Value of the key that the leading daemon holds in the store.
 struct leader_record {
     std::string daemon;
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -74,6 +74,8 @@
     //! Process that its start was ordered for, and the time of that decision; of an adopted run, of the report that lists it.
     worker_process process;
     utils::time_point orderedAt;
+    //! Fencing token of its start order; 0 for an adopted run.
+    std::uint64_t fence = 0;
     //! A process of its worker has listed it, so that no other one can execute its start order.
     bool isListed = false;
     //! The process that it was ordered for has ended, and a later one may execute it; false once that one has listed it.
@@ -225,8 +227,6 @@
     utils::time_point incarnationSeenAt;
     //! Only its clock has shown the present process so far; the incarnation stands for the one that an observation will tell.
     bool isIncarnationGuessed = false;
-    //! Its present process has begun in this term, so that this leader has acknowledged all ends that the process has forgotten.
-    bool hasBegunInTerm = false;
     //! An earlier process of it is known, be it to a former leader.
     bool hasRestarted = false;
     //! Highest of its former incarnations; 0 if none is known.
@@ -241,7 +241,11 @@
     bool isWaitPromised = false;
     //! When its directory entry disappeared.
     utils::time_point withdrawnAt;
-    //! Its current incarnation has answered this leader, and so rejects the orders of former leaders.
+    //! Fencing token of its orders, see job_engine::raiseFence(), and the lowest one of the orders for its present process.
+    std::uint64_t fence = 0;
+    std::uint64_t processFence = 0;
+    //! Its current incarnation has answered an order of this leader for it, and so rejects the orders of former leaders and those
+    //! for former processes.
     bool hasAcceptedTerm = false;
     //! The worker's clock at \a clockUpdatedAt of this host's clock.
     external::worker_time clock = 0;
--- a/src/libs/jobs/relay_choice.h
+++ b/src/libs/jobs/relay_choice.h
@@ -13,6 +13,8 @@
     std::string dataCentre;
     //! Capacity relative to the other relays; greater than 0.
     double weight = 1;
+    //! It can send orders with other fencing tokens than the leader's term; false for a daemon of an older version.
+    bool addsFenceRaise = false;
 
     auto operator<=>(const relay_daemon&) const = default;
 };
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -128,6 +128,7 @@
     m_lastHelloSentAt = {};
     if (!m_election->isLeader())
         return;
+    m_relayedControl->setTerm(m_election->term());
     m_term = std::make_shared<leader_term>(loop(), m_settings, m_deployment, *m_store, *m_relayedControl, *m_election, [this](const std::string& why) {
         // Keeps the term alive until its call that reported the other leader returns.
         const auto ending = m_term;
@@ -239,7 +240,7 @@
     if (m_term == nullptr)
         return;
     m_leadTransfer.noteFollower({ hello.endpoint(), hello.weight(), hello.reaches_store(), utils::milliseconds(hello.timer_delay_ms()) }, now);
-    m_relayedControl->updateRelay({ hello.endpoint(), hello.data_centre(), hello.weight() }, now, hello.sent_us());
+    m_relayedControl->updateRelay({ hello.endpoint(), hello.data_centre(), hello.weight(), hello.adds_fence_raise() }, now, hello.sent_us());
     m_rulesFollower->replyToHello(hello, now);
 }
 
@@ -320,6 +321,7 @@
     envelope.mutable_hello()->set_weight(m_settings.processors);
     envelope.mutable_hello()->set_reaches_store(m_election->isStoreReachable());
     envelope.mutable_hello()->set_timer_delay_ms(m_leadTransfer.timerDelay().count());
+    envelope.mutable_hello()->set_adds_fence_raise(true);
     m_rulesFollower->fillHello(*envelope.mutable_hello(), now);
     send(m_election->leader()->endpoint, envelope);
 }
--- a/src/tasks/coordinator/former_leaders.cpp
+++ b/src/tasks/coordinator/former_leaders.cpp
@@ -7,7 +7,7 @@
 // A daemon of an older version doesn't write the history.
 former_leaders::former_leaders(std::vector<jobs::leader_record> leaders, const jobs::leader_record& own)
     : m_ownTerm(own.term)
-    , m_isComplete(!leaders.empty() && leaders.back().term + 1 == own.term)
+    , m_isComplete(!leaders.empty() && leaders.back().term + jobs::fencesPerTerm == own.term)
     , m_unproven(std::move(leaders))
 {
     std::erase_if(m_unproven, [&](const auto& leader) { return leader.daemon == own.daemon; });
--- a/src/tasks/coordinator/leader_election.cpp
+++ b/src/tasks/coordinator/leader_election.cpp
@@ -155,7 +155,7 @@
 void leader_election::writeLeaderKey(external::lease_id lease, utils::time_point grantedAt)
 {
     auto record = m_ownRecord;
-    record.term = m_lastTerm + 1;
+    record.term = m_lastTerm + jobs::fencesPerTerm;
     auto history = m_history;
     history.push_back(record);
     if (history.size() > maximumHistorySize)
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -361,7 +361,7 @@
     if (m_hasEnded || m_isHandingOver || !m_election.maySendOrders(now))
         return;
     if (m_engine.isDeposed()) {
-        m_onDeposed("a worker has seen a higher fencing token");
+        m_onDeposed("a worker has seen a higher fencing token, or the term has no further one");
         return;
     }
     const bool isStoreReachable = m_election.isLeaseRecentlyRenewed(now);
@@ -381,7 +381,6 @@
 {
     const auto sentAt = utils::nowIncludingSuspend();
     const auto self = weak_from_this();
-    const auto fence = m_election.term();
     std::visit(utils::overloaded {
                    [&](const jobs::start_command& start) {
                        m_runControl.start(start.worker, start.order, [this, self, worker = start.worker.id, run = start.order.run, sentAt](const external::order_reply& reply) {
@@ -393,7 +392,7 @@
                        });
                    },
                    [&](const jobs::stop_command& stop) {
-                       m_runControl.stop(stop.worker, stop.run, fence, [this, self, stop](const external::order_reply& reply) {
+                       m_runControl.stop(stop.worker, stop.run, stop.fence, [this, self, stop](const external::order_reply& reply) {
                            const auto guard = self.lock();
                            if (!guard)
                                return;
@@ -402,7 +401,7 @@
                        });
                    },
                    [&](const jobs::pace_command& pace) {
-                       m_runControl.pace(pace.worker, pace.run, pace.percent, fence, [this, self, pace](const external::order_reply& reply) {
+                       m_runControl.pace(pace.worker, pace.run, pace.percent, pace.fence, [this, self, pace](const external::order_reply& reply) {
                            const auto guard = self.lock();
                            if (!guard)
                                return;
--- a/src/tasks/coordinator/relayed_run_control.cpp
+++ b/src/tasks/coordinator/relayed_run_control.cpp
@@ -118,6 +118,32 @@
     return worker.relayEndpoint;
 }
 
+// An older daemon would send the order with the term as its token, which the worker rejects or, after a restart, takes for an order of before.
+std::string relayed_run_control::relayForOrder(const std::string& worker, std::uint64_t fence)
+{
+    const auto endpoint = relayForWorker(worker);
+    const auto known = m_relays.find(endpoint);
+    const bool canRelay = known != m_relays.end() && (raiseOf(fence) == 0 || known->second.relay.addsFenceRaise);
+    return canRelay ? endpoint : std::string();
+}
+
+void relayed_run_control::setTerm(std::uint64_t term)
+{
+    m_term = term;
+}
+
+std::uint64_t relayed_run_control::raiseOf(std::uint64_t fence) const
+{
+    return m_term && fence > *m_term ? fence - *m_term : 0;
+}
+
+void relayed_run_control::writeFence(std::uint64_t fence, protocol::RunOrder& message) const
+{
+    const auto raise = raiseOf(fence);
+    message.set_fence(fence - raise);
+    message.set_fence_raise(raise);
+}
+
 void relayed_run_control::enqueue(const std::string& relayEndpoint, protocol::RunOrder order, utils::milliseconds wait, std::function<void(const protocol::RunReply&, bool isLate)> complete, utils::time_point decidedAt)
 {
     m_counters.orders.add();
@@ -271,7 +297,7 @@
 
 void relayed_run_control::start(const external::worker_address& worker, const external::run_order& order, std::function<void(external::order_reply)> callback)
 {
-    const auto relayEndpoint = relayForWorker(worker.id);
+    const auto relayEndpoint = relayForOrder(worker.id, order.fence);
     if (relayEndpoint.empty() && isTooOldToSend(order.decidedAt, utils::nowIncludingSuspend())) {
         m_droppedStarts.push_back(std::move(callback));
         startFlushTimer();
@@ -283,7 +309,7 @@
     }
     auto message = makeOrder(worker, protocol::RunOrder::START);
     writeRun(order.run, *message.mutable_run());
-    message.set_fence(order.fence);
+    writeFence(order.fence, message);
     message.set_payload(order.payload);
     message.set_checkpoint(order.checkpoint);
     message.set_lease_end(order.leaseEnd);
@@ -299,40 +325,40 @@
 
 void relayed_run_control::stop(const external::worker_address& worker, const external::run_id& run, std::uint64_t fence, std::function<void(external::order_reply)> callback)
 {
-    const auto relayEndpoint = relayForWorker(worker.id);
+    const auto relayEndpoint = relayForOrder(worker.id, fence);
     if (relayEndpoint.empty()) {
         m_directControl.stop(worker, run, fence, std::move(callback));
         return;
     }
     auto message = makeOrder(worker, protocol::RunOrder::STOP);
     writeRun(run, *message.mutable_run());
-    message.set_fence(fence);
+    writeFence(fence, message);
     enqueue(relayEndpoint, std::move(message), utils::milliseconds(0), [callback = std::move(callback)](const protocol::RunReply& reply, bool) { callback(readOrderReply(reply)); });
 }
 
 void relayed_run_control::pace(const external::worker_address& worker, const external::run_id& run, int percent, std::uint64_t fence, std::function<void(external::order_reply)> callback)
 {
-    const auto relayEndpoint = relayForWorker(worker.id);
+    const auto relayEndpoint = relayForOrder(worker.id, fence);
     if (relayEndpoint.empty()) {
         m_directControl.pace(worker, run, percent, fence, std::move(callback));
         return;
     }
     auto message = makeOrder(worker, protocol::RunOrder::PACE);
     writeRun(run, *message.mutable_run());
-    message.set_fence(fence);
+    writeFence(fence, message);
     message.set_percent(percent);
     enqueue(relayEndpoint, std::move(message), utils::milliseconds(0), [callback = std::move(callback)](const protocol::RunReply& reply, bool) { callback(readOrderReply(reply)); });
 }
 
 void relayed_run_control::observe(const external::worker_address& worker, const external::observe_order& order, std::function<void(external::observe_reply)> callback)
 {
-    const auto relayEndpoint = relayForWorker(worker.id);
+    const auto relayEndpoint = relayForOrder(worker.id, order.fence);
     if (relayEndpoint.empty()) {
         m_directControl.observe(worker, order, std::move(callback));
         return;
     }
     auto message = makeOrder(worker, protocol::RunOrder::OBSERVE);
-    message.set_fence(order.fence);
+    writeFence(order.fence, message);
     message.set_acknowledged_end(order.acknowledgedEnd);
     message.set_lease_end(order.leaseEnd);
     message.set_wait_ms(order.wait.count());
@@ -394,13 +420,13 @@
     };
     switch (order.kind()) {
     case protocol::RunOrder::START:
-        m_directControl.start(worker, { readRun(order.run()), order.payload(), order.checkpoint(), order.lease_end(), order.fence(), readTraits(order.traits()) }, sendReply);
+        m_directControl.start(worker, { readRun(order.run()), order.payload(), order.checkpoint(), order.lease_end(), readFence(order), readTraits(order.traits()) }, sendReply);
         return;
     case protocol::RunOrder::STOP:
-        m_directControl.stop(worker, readRun(order.run()), order.fence(), sendReply);
+        m_directControl.stop(worker, readRun(order.run()), readFence(order), sendReply);
         return;
     case protocol::RunOrder::PACE:
-        m_directControl.pace(worker, readRun(order.run()), order.percent(), order.fence(), sendReply);
+        m_directControl.pace(worker, readRun(order.run()), order.percent(), readFence(order), sendReply);
         return;
     case protocol::RunOrder::OBSERVE:
         m_directControl.observe(worker, readObserveOrder(order), sendReply);
--- a/src/tasks/coordinator/relayed_run_control.h
+++ b/src/tasks/coordinator/relayed_run_control.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -32,6 +33,8 @@
     relayed_run_control(transport::event_loop& loop, external::run_control& directControl, std::string replyEndpoint, send_function send, relayed_order_counters& counters, std::uint64_t firstTicket);
     ~relayed_run_control() override;
 
+    //! \brief Sets the term of the orders that follow. It is the lowest of their fencing tokens.
+    void setTerm(std::uint64_t term);
     //! \brief Records that a daemon announced itself as a relay, with its clock at that time in microseconds; 0 if it didn't tell.
     void updateRelay(const jobs::relay_daemon& relay, utils::time_point now, std::int64_t helloMicroseconds = 0);
     //! \brief Completes the orders for which a relay sent replies.
@@ -78,6 +81,11 @@
     const std::vector<jobs::relay_daemon>& relaysOf(const std::string& dataCentre);
     //! \brief Endpoint of the relay for a worker; empty without relays.
     std::string relayForWorker(const std::string& id);
+    //! \brief The same for an order with the given fencing token; empty if that relay can't send it.
+    std::string relayForOrder(const std::string& worker, std::uint64_t fence);
+    //! \brief What a fencing token exceeds the term by.
+    std::uint64_t raiseOf(std::uint64_t fence) const;
+    void writeFence(std::uint64_t fence, protocol::RunOrder& message) const;
     void enqueue(const std::string& relayEndpoint, protocol::RunOrder order, utils::milliseconds wait, std::function<void(const protocol::RunReply&, bool isLate)> complete, utils::time_point decidedAt = {});
     void startFlushTimer();
     //! \brief Removes the starts that must no longer be sent from a message and reports them as Expired.
@@ -109,6 +117,8 @@
     //! Callbacks of the starts that were too old for a call without a relay.
     std::vector<std::function<void(external::order_reply)>> m_droppedStarts;
     std::uint64_t m_nextTicket;
+    //! nullopt before the first term.
+    std::optional<std::uint64_t> m_term;
 };
 
 //! \brief Executes a leader's orders on a relay daemon and sends the replies back in batches.
--- a/src/tasks/coordinator/run_codec.cpp
+++ b/src/tasks/coordinator/run_codec.cpp
@@ -70,9 +70,14 @@
     return { utils::milliseconds(0), source.best_effort() };
 }
 
+std::uint64_t readFence(const protocol::RunOrder& source)
+{
+    return source.fence() + source.fence_raise();
+}
+
 external::observe_order readObserveOrder(const protocol::RunOrder& source)
 {
-    external::observe_order order { source.acknowledged_end(), source.fence(), source.lease_end(), utils::milliseconds(source.wait_ms()), {} };
+    external::observe_order order { source.acknowledged_end(), readFence(source), source.lease_end(), utils::milliseconds(source.wait_ms()), {} };
     for (const auto& described : source.described())
         order.described.push_back({ readRun(described.run()), readTraits(described.traits()) });
     return order;
--- a/src/tasks/coordinator/run_codec.h
+++ b/src/tasks/coordinator/run_codec.h
@@ -11,6 +11,8 @@
 void writeTraits(const external::run_traits& traits, protocol::RunTraits& target);
 //! \brief Decodes traits; a latency target out of bounds counts as none.
 external::run_traits readTraits(const protocol::RunTraits& source);
+//! \brief Fencing token of a relayed order for the worker.
+std::uint64_t readFence(const protocol::RunOrder& source);
 external::observe_order readObserveOrder(const protocol::RunOrder& source);
 
 void writeReply(const external::order_reply& reply, protocol::RunReply& target);
--- a/tests/auto/jobs/overlapping_leaders.h
+++ b/tests/auto/jobs/overlapping_leaders.h
@@ -125,7 +125,7 @@
             const bool isCutFromFormer = isPartition ? !isCutFromNext : draw == 2;
             auto& unreachableTerms = fleet.worker(id).faults.unreachableTerms;
             if (isCutFromNext)
-                unreachableTerms.insert(fleet.term() + 1);
+                unreachableTerms.insert(fleet.nextTerm());
             if (isCutFromNext && losesEntries)
                 unlisted.push_back(id);
             if (isCutFromFormer)
--- a/tests/auto/jobs/partitioned_takeover.h
+++ b/tests/auto/jobs/partitioned_takeover.h
@@ -42,7 +42,7 @@
             fleet.loseEntry(id);
     };
     for (const char* id : { "w1", "w2" })
-        fleet.worker(id).faults.unreachableTerms = { fleet.term() + 1 };
+        fleet.worker(id).faults.unreachableTerms = { fleet.nextTerm() };
     if (partition.entryLoss == entry_loss::BeforeTheChange)
         loseEntries();
     fleet.changeLeaderBesideFormer(partition.formerTime);
--- a/tests/auto/jobs/replying_worker.h
+++ b/tests/auto/jobs/replying_worker.h
@@ -16,7 +16,7 @@
 class replying_worker {
 public:
     explicit replying_worker(std::function<void(const engine_event&)> onEvent = [](const engine_event&) {})
-        : m_engine({}, 1, std::move(onEvent))
+        : m_engine({}, term, std::move(onEvent))
     {
         m_engine.setRules(std::make_shared<const deployment_rules>(defaultRules()));
         m_engine.beginTerm({}, m_now);
@@ -64,6 +64,7 @@
         for (const auto& command : m_engine.decideCommands(m_now)) {
             const auto* observe = std::get_if<observe_command>(&command);
             const auto* start = std::get_if<start_command>(&command);
+            const auto* stop = std::get_if<stop_command>(&command);
             if (observe != nullptr && observe->worker.id == "w1")
                 m_engine.handleObserveReply("w1", *observe, reportOf(firstIncarnation, m_runsElsewhere, clockAt(m_now)), m_now, m_now);
             else if (observe != nullptr)
@@ -72,6 +73,8 @@
                 m_starts.push_back(*start);
             else if (start != nullptr)
                 acceptElsewhere(*start);
+            else if (stop != nullptr && stop->worker.id == "w0")
+                m_stops.push_back(*stop);
         }
     }
 
@@ -83,6 +86,10 @@
     {
         return take(m_starts);
     }
+    std::optional<stop_command> takeStop()
+    {
+        return take(m_stops);
+    }
 
     external::worker_time clockAt(utils::time_point at) const
     {
@@ -108,12 +115,29 @@
     {
         m_engine.handleObserveReply("w0", observation, { outcome, {} }, observation.decidedAt, m_now);
     }
+    void confirmStop(const external::run_id& run)
+    {
+        const auto& known = state();
+        m_engine.handleStopReply({ { "w0", known.description.endpoint }, run, processOf(known), known.fence }, { external::order_outcome::Accepted, clockAt(m_now) }, m_now);
+    }
+    //! Decides until the condition holds; returns false if it doesn't within some seconds.
+    bool decideUntil(const std::function<bool()>& condition)
+    {
+        constexpr unsigned decisionLimit = 500;
+        for (unsigned decision = 0; decision < decisionLimit; ++decision) {
+            if (condition())
+                return true;
+            decide();
+        }
+        return false;
+    }
     void reply(const start_command& start, external::order_outcome outcome, std::optional<utils::time_point> sentAt = {})
     {
         m_engine.handleStartReply("w0", start.order.run, { outcome, outcome == external::order_outcome::Accepted ? clockAt(m_now) : 0 }, sentAt.value_or(m_now), m_now);
     }
 
     static constexpr std::int64_t firstIncarnation = 1;
+    static constexpr std::uint64_t term = fencesPerTerm;
 
 private:
     // Progress of a service task that serves.
@@ -148,6 +172,7 @@
     job_engine m_engine;
     std::deque<observe_command> m_observations;
     std::deque<start_command> m_starts;
+    std::deque<stop_command> m_stops;
     std::vector<external::run_id> m_runsElsewhere;
 };
 
--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -205,7 +205,7 @@
     m_formerEngine = std::move(m_engine);
     m_formerTerm = m_term;
     m_formerEndsAt = m_now;
-    m_engine = std::make_unique<job_engine>(engine_settings {}, ++m_term, [this](const engine_event& event) { checkEvent(event); });
+    m_engine = std::make_unique<job_engine>(engine_settings {}, m_term = nextTerm(), [this](const engine_event& event) { checkEvent(event); });
     m_engine->setRules(m_rules);
     for (const auto& [id, job] : m_jobs)
         m_engine->restore(job, m_progress[id], m_cancelledJobs.contains(id), m_now);
--- a/tests/auto/jobs/simulated_fleet.h
+++ b/tests/auto/jobs/simulated_fleet.h
@@ -141,6 +141,11 @@
     {
         return m_term;
     }
+    //! Term of the leader after \a leaders further ones.
+    std::uint64_t nextTerm(unsigned leaders = 0) const
+    {
+        return m_term + (leaders + 1) * fencesPerTerm;
+    }
     void submit(const job_spec& job);
     void cancel(const std::string& id);
     //! \brief Makes the task crash each worker that starts it, \a delay after the start.
--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -78,13 +78,13 @@
                        }
                        schedule(orderDelay, [this, order, term, answerStop, &worker] {
                            auto outcome = external::order_outcome::Accepted;
-                           if (term < worker.fence)
+                           if (order.fence < worker.fence)
                                outcome = external::order_outcome::Fenced;
                            else if (worker.running.contains(order.run.task) && worker.running.at(order.run.task).run == order.run)
                                close(worker, order.run.task, external::end_cause::Stopped);
                            else
                                worker.closed[order.run.task] = std::max(worker.closed[order.run.task], order.run.number);
-                           worker.fence = std::max(worker.fence, term);
+                           worker.fence = std::max(worker.fence, order.fence);
                            answerStop(order, { outcome, clockOf(worker) });
                        });
                    },
--- a/tests/auto/jobs/tst_repeated_takeovers.cpp
+++ b/tests/auto/jobs/tst_repeated_takeovers.cpp
@@ -108,7 +108,7 @@
     fleet_with_lost_worker takeover;
     auto& fleet = takeover.fleet;
     const auto firstChange = fleet.now();
-    fleet.worker("w1").faults.unreachableTerms = { fleet.term(), fleet.term() + 1, fleet.term() + 2 };
+    fleet.worker("w1").faults.unreachableTerms = { fleet.term(), fleet.nextTerm(), fleet.nextTerm(1) };
     fleet.changeLeader();
     const auto reach = [&] {
         if (fleet.now() >= firstChange + parameters.reachedAfter)
@@ -156,7 +156,7 @@
     constexpr utils::milliseconds toldWait { 3000 };
     const auto begin = utils::time_point() + std::chrono::hours(1);
     const auto isRestoringAfter = [&](std::uint64_t silentTerm, utils::milliseconds age) {
-        job_engine engine(engine_settings {}, 5, [](const engine_event&) {});
+        job_engine engine(engine_settings {}, 5 * fencesPerTerm, [](const engine_event&) {});
         engine.setRules(std::make_shared<deployment_rules>(defaultRules()));
         engine.restore(makeJob("job", { batchStep(1) }), {}, false, begin);
         roster_worker stored { "w1", "address:1", "dc", 1 };
@@ -168,8 +168,8 @@
         engine.decideCommands(begin + age);
         return engine.isRestoring();
     };
-    EXPECT_TRUE(isRestoringAfter(4, toldWait - utils::milliseconds(100)));
-    EXPECT_FALSE(isRestoringAfter(4, toldWait + utils::milliseconds(100)));
-    for (const std::uint64_t term : { 0, 3, 5 })
+    EXPECT_TRUE(isRestoringAfter(4 * fencesPerTerm, toldWait - utils::milliseconds(100)));
+    EXPECT_FALSE(isRestoringAfter(4 * fencesPerTerm, toldWait + utils::milliseconds(100)));
+    for (const std::uint64_t term : { std::uint64_t(0), 3 * fencesPerTerm, 5 * fencesPerTerm - 1, 5 * fencesPerTerm })
         EXPECT_TRUE(isRestoringAfter(term, longestFormerLease - utils::milliseconds(100))) << term;
 }
--- a/tests/auto/jobs/tst_restarted_workers.cpp
+++ b/tests/auto/jobs/tst_restarted_workers.cpp
@@ -190,8 +190,8 @@
         EXPECT_EQ(fleet.startCount({ "job", 0, 0, index }), 1u);
 }
 
-// A run that had been closed was listed by a restarted worker, skipped without a stop, and ran on beside the next one.
-TEST(RestartedWorker, ListedRunIsSkippedBecauseItsNumberIsClosed)
+// A restarted worker executed starts late whose stop its former process had confirmed, beside the next runs of their tasks.
+TEST(RestartedWorker, StopOfTheFormerProcessIsForgotten)
 {
     constexpr unsigned count = 4;
     simulated_fleet fleet;
@@ -208,10 +208,44 @@
     fleet.run(utils::milliseconds(1500));
     fleet.worker("w1").faults.losesObserveReplies = false;
     fleet.run(utils::milliseconds(1500));
-    EXPECT_GT(fleet.violations().size(), 0u) << "no start took effect late";
+    EXPECT_EQ(fleet.violations(), std::vector<std::string>());
     EXPECT_EQ(fleet.workersRunning("job").size(), count);
 }
 
+// A run that had been closed was listed by a restarted worker, skipped without a stop, and ran on beside the next one.
+TEST(RestartedWorker, ListedRunIsSkippedBecauseItsNumberIsClosed)
+{
+    replying_worker worker;
+    worker.addOtherWorker();
+    worker.engine().add(makeJob("job", { serviceStep(1, "image") }), worker.now());
+    worker.decide();
+    const auto start = *worker.takeStart();
+    worker.answer(*worker.takeObservation(), replying_worker::firstIncarnation, {});
+    worker.reply(start, external::order_outcome::NoAnswer);
+    const auto answerObservation = [&] {
+        if (const auto observation = worker.takeObservation())
+            worker.answer(*observation, replying_worker::firstIncarnation, {});
+    };
+    ASSERT_TRUE(worker.decideUntil([&] {
+        answerObservation();
+        return worker.takeStop().has_value();
+    }));
+    // Its end isn't known, so that the task starts again only after the report that follows the confirmed stop.
+    worker.confirmStop(start.order.run);
+    ASSERT_TRUE(worker.decideUntil([&] {
+        answerObservation();
+        return worker.state().runs.empty();
+    }));
+    worker.decide(utils::milliseconds(300));
+    const auto observation = worker.takeObservation();
+    ASSERT_TRUE(observation);
+    worker.answer(*observation, replying_worker::firstIncarnation, { start.order.run });
+    worker.decide();
+    const auto stop = worker.takeStop();
+    ASSERT_TRUE(stop);
+    EXPECT_EQ(stop->run, start.order.run);
+}
+
 // A worker that restarted at another address lost the runs of its new process when its former address answered late.
 TEST(RestartedWorker, RunsAreLostWhenAnotherWorkerAnswersAtTheFormerAddress)
 {
@@ -221,12 +255,12 @@
     engine.setRules(std::make_shared<const deployment_rules>(defaultRules()));
     engine.beginTerm({}, now);
     engine.announceWorker(worker, now);
-    const observe_command formerObservation { { worker.id, worker.endpoint }, {}, true, { worker.endpoint, worker.incarnation, 1 } };
+    const observe_command formerObservation { { worker.id, worker.endpoint }, { 0, engine.workers().at(worker.id)->fence }, true, { worker.endpoint, worker.incarnation, 1 } };
     engine.handleObserveReply(worker.id, formerObservation, { external::order_outcome::Accepted, { 1, worker.incarnation, {}, {} } }, now, now);
     worker.endpoint = "present address";
     ++worker.incarnation;
     engine.announceWorker(worker, now);
-    observe_command observation { { worker.id, worker.endpoint }, {}, true, { worker.endpoint, worker.incarnation, 1 } };
+    observe_command observation { { worker.id, worker.endpoint }, { 0, engine.workers().at(worker.id)->fence }, true, { worker.endpoint, worker.incarnation, 1 } };
     engine.handleObserveReply(worker.id, observation, { external::order_outcome::Accepted, { 1, worker.incarnation, {}, {} } }, now, now);
     engine.markRosterStored({ { worker.id, worker.endpoint, worker.dataCentre } });
     engine.confirmDirectory(now);
--- a/tests/auto/jobs/tst_takeover.cpp
+++ b/tests/auto/jobs/tst_takeover.cpp
@@ -98,7 +98,7 @@
     fleet.submit(makeJob("job", { serviceStep(2, "image") }));
     ASSERT_TRUE(fleet.runUntil([&] { return fleet.workersRunning("job").size() == 2; }, startTime));
     worker_faults partition;
-    partition.unreachableTerms = { fleet.term() + 1 };
+    partition.unreachableTerms = { fleet.nextTerm() };
     fleet.worker("w1").faults = partition;
     fleet.changeLeaderBesideFormer(formerLeaderTime);
     fleet.addWorker("w2");
@@ -120,7 +120,7 @@
     fleet.submit(makeJob("job", { serviceStep(2, "image") }));
     ASSERT_TRUE(fleet.runUntil([&] { return fleet.workersRunning("job").size() == 2; }, startTime));
     worker_faults partition;
-    partition.unreachableTerms = { fleet.term() + 1 };
+    partition.unreachableTerms = { fleet.nextTerm() };
     fleet.worker("w1").faults = partition;
     fleet.changeLeader(true);
     fleet.addWorker("w2");
@@ -152,7 +152,7 @@
     fleet.restartWorker("w1");
     worker_faults faults;
     faults.restartedProcessExecutesLateStarts = true;
-    faults.unreachableTerms = { fleet.term(), fleet.term() + 1 };
+    faults.unreachableTerms = { fleet.term(), fleet.nextTerm() };
     fleet.worker("w1").faults = faults;
     fleet.changeLeader(true);
     fleet.addWorker("w2");
--- a/tests/auto/tasks/tst_coordinator_parts.cpp
+++ b/tests/auto/tasks/tst_coordinator_parts.cpp
@@ -367,7 +367,7 @@
     runLoop(loop, shortRunTime);
     EXPECT_NE(first.isLeader(), second.isLeader());
     auto& leader = first.isLeader() ? first : second;
-    EXPECT_EQ(leader.term(), 1u);
+    EXPECT_EQ(leader.term(), jobs::fencesPerTerm);
     EXPECT_TRUE(leader.maySendOrders(utils::nowIncludingSuspend()));
     EXPECT_FALSE(leader.maySendOrders(utils::nowIncludingSuspend() + std::chrono::seconds(8)));
     leader.resign();
--- a/tests/auto/tasks/tst_former_leaders.cpp
+++ b/tests/auto/tasks/tst_former_leaders.cpp
@@ -10,7 +10,9 @@
 
 namespace {
 
-constexpr std::uint64_t ownTerm = 5;
+constexpr std::uint64_t ownTerm = 5 * jobs::fencesPerTerm;
+constexpr std::uint64_t termBefore = 4 * jobs::fencesPerTerm;
+constexpr std::uint64_t earlierTerm = 3 * jobs::fencesPerTerm;
 constexpr utils::milliseconds settlingTime { 300 };
 const jobs::leader_record own { "a", 2, "tcp://a", ownTerm };
 
@@ -32,15 +34,15 @@
 } // namespace
 
 INSTANTIATE_TEST_SUITE_P(Proofs, leaders_before_a_term,
-    testing::Values(former_leaders_case { "earlierProcessOfTheSameDaemon", { { "a", 1, "tcp://a", 4 } }, {}, true },
-        former_leaders_case { "earlierTermOfTheSameProcess", { { "a", 2, "tcp://a", 4 } }, {}, true },
-        former_leaders_case { "otherDaemonIsSilent", { { "b", 1, "tcp://b", 4 } }, {}, false },
-        former_leaders_case { "otherDaemonFollows", { { "b", 1, "tcp://b", 4 } }, { { "tcp://b" } }, true },
-        former_leaders_case { "otherDaemonFollowedAnEarlierLeader", { { "b", 1, "tcp://b", 4 } }, { { "tcp://b", 3 } }, false },
-        former_leaders_case { "anotherDaemonFollows", { { "b", 1, "tcp://b", 4 } }, { { "tcp://c" } }, false },
-        former_leaders_case { "oneOfTwoFollows", { { "c", 1, "tcp://c", 3 }, { "b", 1, "tcp://b", 4 } }, { { "tcp://b" } }, false },
-        former_leaders_case { "bothFollow", { { "c", 1, "tcp://c", 3 }, { "b", 1, "tcp://b", 4 } }, { { "tcp://b" }, { "tcp://c" } }, true },
-        former_leaders_case { "leaderOfTheTermBeforeIsUnknown", { { "a", 1, "tcp://a", 3 } }, {}, false },
+    testing::Values(former_leaders_case { "earlierProcessOfTheSameDaemon", { { "a", 1, "tcp://a", termBefore } }, {}, true },
+        former_leaders_case { "earlierTermOfTheSameProcess", { { "a", 2, "tcp://a", termBefore } }, {}, true },
+        former_leaders_case { "otherDaemonIsSilent", { { "b", 1, "tcp://b", termBefore } }, {}, false },
+        former_leaders_case { "otherDaemonFollows", { { "b", 1, "tcp://b", termBefore } }, { { "tcp://b" } }, true },
+        former_leaders_case { "otherDaemonFollowedAnEarlierLeader", { { "b", 1, "tcp://b", termBefore } }, { { "tcp://b", earlierTerm } }, false },
+        former_leaders_case { "anotherDaemonFollows", { { "b", 1, "tcp://b", termBefore } }, { { "tcp://c" } }, false },
+        former_leaders_case { "oneOfTwoFollows", { { "c", 1, "tcp://c", earlierTerm }, { "b", 1, "tcp://b", termBefore } }, { { "tcp://b" } }, false },
+        former_leaders_case { "bothFollow", { { "c", 1, "tcp://c", earlierTerm }, { "b", 1, "tcp://b", termBefore } }, { { "tcp://b" }, { "tcp://c" } }, true },
+        former_leaders_case { "leaderOfTheTermBeforeIsUnknown", { { "a", 1, "tcp://a", earlierTerm } }, {}, false },
         former_leaders_case { "noneIsKnown", {}, { { "tcp://b" } }, false }),
     [](const auto& info) { return std::string(info.param.name); });
 
@@ -72,8 +74,8 @@
     runLoop(loop, settlingTime);
     ASSERT_TRUE(second.isLeader());
     ASSERT_EQ(second.formerLeaders().size(), 1u);
-    EXPECT_EQ(second.formerLeaders().front(), (jobs::leader_record { "first", 1, "tcp://first", 1 }));
-    EXPECT_EQ(second.ownRecord().term, 2u);
+    EXPECT_EQ(second.formerLeaders().front(), (jobs::leader_record { "first", 1, "tcp://first", jobs::fencesPerTerm }));
+    EXPECT_EQ(second.ownRecord().term, 2 * jobs::fencesPerTerm);
     EXPECT_GE(second.lastFormerRenewal(), startedAt - settings.leaseDuration);
     EXPECT_LE(second.lastFormerRenewal(), utils::nowIncludingSuspend() - settings.leaseDuration);
 }
@@ -88,7 +90,8 @@
 };
 
 INSTANTIATE_TEST_SUITE_P(Terms, announced_term,
-    testing::Values(announced_term_case { "earlier", 0, true }, announced_term_case { "own", 1, true }, announced_term_case { "later", 2, false }),
+    testing::Values(announced_term_case { "earlier", 0, true }, announced_term_case { "own", jobs::fencesPerTerm, true }, announced_term_case { "laterByAnOlderDaemon", jobs::fencesPerTerm + 1, false },
+        announced_term_case { "later", 2 * jobs::fencesPerTerm, false }),
     [](const auto& info) { return std::string(info.param.name); });
 
 // A leader that is cut off from the store ends its term at the notice of the next leader, instead of after its grace period.
@@ -99,7 +102,7 @@
     leader_election election(loop, store, {}, { "first", 1, "tcp://first", 0 }, [] {});
     election.start();
     runLoop(loop, settlingTime);
-    ASSERT_EQ(election.term(), 1u);
+    ASSERT_EQ(election.term(), jobs::fencesPerTerm);
     election.noteLaterTerm(GetParam().term);
     EXPECT_EQ(election.isLeader(), GetParam().leadsOn);
     EXPECT_EQ(election.maySendOrders(utils::nowIncludingSuspend()), GetParam().leadsOn);
--- a/tests/auto/tasks/tst_lead_transfer.cpp
+++ b/tests/auto/tasks/tst_lead_transfer.cpp
@@ -204,5 +204,5 @@
         runLoop(loop, pollInterval);
     runLoop(loop, GetParam().observedTime);
     EXPECT_TRUE(isExpectedLeader()) << (leaderOf(store) ? leaderOf(store)->daemon : "nobody");
-    EXPECT_LE(leaderOf(store).value_or(jobs::leader_record {}).term, GetParam().formerTerms + GetParam().maximumTerms);
+    EXPECT_LE(leaderOf(store).value_or(jobs::leader_record {}).term, GetParam().formerTerms + GetParam().maximumTerms * jobs::fencesPerTerm);
 }
--- a/tests/auto/tasks/tst_order_relay.cpp
+++ b/tests/auto/tasks/tst_order_relay.cpp
@@ -114,3 +114,65 @@
     EXPECT_EQ(outcomeFor(formerLeader), static_cast<int>(external::order_outcome::Fenced));
     EXPECT_EQ(m_workers.ordersByFence[4], 0u);
 }
+
+// The fencing token of one worker is raised when it restarts; the orders to others keep theirs and aren't those of a former leader.
+TEST_P(relayed_order, HasItsRaisedTokenWithoutAChangeOfTheTerm)
+{
+    constexpr std::uint64_t raise = 3;
+    auto raised = makeOrders(newLeader, 5, GetParam().kind);
+    raised.mutable_orders(0)->set_fence_raise(raise);
+    m_relay.execute(raised, m_now);
+    m_relay.execute(makeOrders(newLeader, 5, GetParam().kind), m_now);
+    runLoop(m_loop, replyTime);
+    EXPECT_EQ(m_workers.ordersByFence, (std::map<std::uint64_t, unsigned> { { 5, 1 }, { 5 + raise, 1 } }));
+    EXPECT_EQ(outcomeFor(newLeader), static_cast<int>(external::order_outcome::Accepted));
+}
+
+struct mixed_versions_case {
+    const char* name;
+    bool addsFenceRaise;
+    std::uint64_t raise;
+    bool isRelayed;
+};
+
+class order_beside_relays_of_a_version : public testing::TestWithParam<mixed_versions_case> {
+};
+
+INSTANTIATE_TEST_SUITE_P(Versions, order_beside_relays_of_a_version,
+    testing::Values(mixed_versions_case { "presentRelay", true, 0, true }, mixed_versions_case { "presentRelayWithRaisedToken", true, 2, true },
+        mixed_versions_case { "olderRelay", false, 0, true }, mixed_versions_case { "olderRelayWithRaisedToken", false, 2, false }),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// A relay of an older version would send the order with the token of those for the worker's former process.
+TEST_P(order_beside_relays_of_a_version, ReachesTheWorkerWithItsToken)
+{
+    constexpr std::uint64_t term = 20'000;
+    const auto fence = term + GetParam().raise;
+    transport::event_loop loop;
+    utils::metric_registry registry;
+    relayed_order_counters counters(registry);
+    accepting_run_control direct;
+    std::vector<protocol::RunOrder> relayed;
+    relayed_run_control control(
+        loop, direct, "leader", [&](const auto&, const auto& envelope) {
+            for (const auto& order : envelope.orders().orders())
+                relayed.push_back(order);
+        },
+        counters, 1);
+    control.setTerm(term);
+    control.updateRelay({ "relay", "dc", 1, GetParam().addsFenceRaise }, utils::nowIncludingSuspend());
+    const external::worker_address worker { "worker", "10.0.0.1:1" };
+    const external::run_id run { { "job", 0, 0, 0 }, 1 };
+    control.start(worker, { run, "", "", 100, fence, {} }, [](const auto&) {});
+    control.stop(worker, run, fence, [](const auto&) {});
+    control.pace(worker, run, 50, fence, [](const auto&) {});
+    control.observe(worker, { 0, fence, 0, utils::milliseconds(0), {} }, [](const auto&) {});
+    runLoop(loop, replyTime);
+    constexpr unsigned orderCount = 4;
+    EXPECT_EQ(direct.ordersByFence[fence], GetParam().isRelayed ? 0u : orderCount);
+    ASSERT_EQ(relayed.size(), GetParam().isRelayed ? orderCount : 0u);
+    for (const auto& order : relayed) {
+        EXPECT_EQ(order.fence(), term);
+        EXPECT_EQ(order.fence_raise(), GetParam().raise);
+    }
+}
