Job front: Refuse ids that can't be part of a key

What callers saw: a submission whose id has the byte 0xF1 ended the daemon that received it (SIGABRT), and the next one with the caller's repetition.

Cause: the id becomes part of a key, and a transaction is written as JSON, which throws for text that isn't UTF-8. Nothing catches it.

Change: an id has 1 to 128 printable ASCII characters. A submission with any other is answered with 400 and the reason, a query or a cancellation with 410, since no such job can exist. All methods go through the check, so that no other daemon gets such an id, neither by a forwarded call nor by the inbox. The refusal's body and the path in its log line are escaped.

Related paths: strings in bodies are checked by the parser; protobuf doesn't parse a message with such a text field; hosts and prefixes are only compared; run_client sends what a parsed body held.

--- a/src/libs/jobs/job.cpp
+++ b/src/libs/jobs/job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "utils/errors.h"
 
@@ -12,9 +13,16 @@
     // Limits the daemon's memory use; the largest steps of the users have 36 tasks.
     constexpr unsigned maximumTasksPerStep = 10'000;
     constexpr std::size_t maximumStepsPerJob = 100;
+    // The store's keys have 200 bytes at most, with a prefix and a suffix around the id.
+    constexpr std::size_t maximumJobIdBytes = 128;
 
 } // namespace
 
+bool isJobId(absl::string_view id)
+{
+    return !id.empty() && id.size() <= maximumJobIdBytes && std::ranges::all_of(id, [](char c) { return absl::ascii_isgraph(static_cast<unsigned char>(c)); });
+}
+
 absl::Status validate(const job_spec& job)
 {
     const auto error = [&](const std::string& cause) {
--- a/src/libs/jobs/job.h
+++ b/src/libs/jobs/job.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "absl/strings/string_view.h"
 #include "model/resources.h"
 #include "utils/clock.h"
 
@@ -63,6 +64,8 @@
 //!
 //! Returns InvalidArgument for a job that fails a check.
 absl::Status validate(const job_spec& job);
+//! \brief Whether a job may have the id: 1 to 128 printable ASCII characters without spaces. The id is part of keys in the store.
+bool isJobId(absl::string_view id);
 
 //! \brief Settings of a queue in the operators' configuration.
 struct queue_rules {
--- a/src/tasks/job_front/job_front_task.cpp
+++ b/src/tasks/job_front/job_front_task.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "input/printable_text.h"
 #include "nlohmann/json.hpp"
 #include "utils/errors.h"
 #include "utils/events.h"
@@ -136,8 +137,8 @@
 void job_front_task::rejectRequest(const transport::http_request& request, const transport::http_responder& responder, int status, const std::string& reason)
 {
     const auto rulesAge = m_rulesState.confirmedBy == rules_source::None ? utils::milliseconds(-1) : std::chrono::duration_cast<utils::milliseconds>(utils::nowIncludingSuspend() - m_rulesState.confirmedAt);
-    utils::logEvent(utils::events::requestRefused, { { "method", request.method }, { "path", request.path }, { "status", std::to_string(status) }, { "reason", reason }, { "rules", std::to_string(m_rules ? m_rules->rules().version : 0) }, { "rules_age_ms", std::to_string(rulesAge.count()) }, { "confirmed_by", std::string(toString(m_rulesState.confirmedBy)) }, { "store_failing", m_rulesState.isStoreFailing ? "true" : "false" } });
-    send(responder, status, nlohmann::json { { "error", reason } }.dump(), status == 503 ? utils::milliseconds(1000) : utils::milliseconds(0));
+    utils::logEvent(utils::events::requestRefused, { { "method", request.method }, { "path", input::printableText(request.path) }, { "status", std::to_string(status) }, { "reason", reason }, { "rules", std::to_string(m_rules ? m_rules->rules().version : 0) }, { "rules_age_ms", std::to_string(rulesAge.count()) }, { "confirmed_by", std::string(toString(m_rulesState.confirmedBy)) }, { "store_failing", m_rulesState.isStoreFailing ? "true" : "false" } });
+    send(responder, status, nlohmann::json { { "error", reason } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), status == 503 ? utils::milliseconds(1000) : utils::milliseconds(0));
 }
 
 void job_front_task::onRequest(const transport::http_request& request, const transport::http_responder& responder)
@@ -197,6 +198,12 @@
     job_call call;
     call.ticket = m_nextTicket++;
     call.subject = request.path.substr(queue.prefix.size());
+    const bool namesJob = request.method != "GET" || !call.subject.empty();
+    if (namesJob && !jobs::isJobId(call.subject)) {
+        // No job can have the id, so a query or a cancellation of it is answered as one of an unknown job.
+        rejectRequest(request, responder, request.method == "POST" ? 400 : 410, "the id of a job has 1 to 128 printable ASCII characters");
+        return;
+    }
     call.timeout = defaultCallTimeout;
     std::int64_t timeoutMilliseconds = 0;
     if (absl::SimpleAtoi(request.header(m_deployment.callerTimeoutHeader()), &timeoutMilliseconds) && timeoutMilliseconds > 0)
