--- a/tests/auto/jobs/tst_forgotten_ends.cpp
+++ b/tests/auto/jobs/tst_forgotten_ends.cpp
@@ -50,6 +50,7 @@
         const auto observation = worker.takeObservation();
         ASSERT_TRUE(observation);
         std::vector<external::run_end> ended;
+        ended.reserve(numbers.size());
         for (const auto number : numbers)
             ended.push_back({ number, { { "unknown", 0, 0, 0 }, number }, external::end_cause::Done, "" });
         worker.answer(*observation, incarnation, { start.order.run }, std::move(ended));
