--- a/tests/auto/jobs/simulated_fleet_workers.cpp
+++ b/tests/auto/jobs/simulated_fleet_workers.cpp
@@ -76,7 +76,7 @@
                            });
                            return;
                        }
-                       schedule(orderDelay, [this, order, term, answerStop, &worker] {
+                       schedule(orderDelay, [this, order, answerStop, &worker] {
                            auto outcome = external::order_outcome::Accepted;
                            if (order.fence < worker.fence)
                                outcome = external::order_outcome::Fenced;
