--- a/review/standins-3/http.h
+++ b/review/standins-3/http.h
@@ -156,6 +156,15 @@
     return address;
 }
 
+inline bool isPortFree(const std::string& ip, std::uint16_t port)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto address = addressOf(ip, port);
+    const bool isFree = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    close(fd);
+    return isFree;
+}
+
 //! Serves each connection in a thread. The handler returns false to close the connection without an answer.
 class http_server {
 public:
