Utils: Make the token bucket of the gateways' link usable for other rates

routing::link_budget becomes utils::token_bucket. Nothing changes in what it does; the next change limits the cancellations of unknown jobs with it.

--- a/src/libs/utils/token_bucket.cpp
+++ b/src/libs/utils/token_bucket.cpp
@@ -1,30 +1,30 @@
-#include "routing/link_budget.h"
+#include "utils/token_bucket.h"
 
 #include <algorithm>
 
-namespace camphorsaddle::routing {
+namespace camphorsaddle::utils {
 
-link_budget::link_budget(double bytesPerSecond, double burstBytes, utils::time_point now)
-    : m_bytesPerSecond(bytesPerSecond)
-    , m_burstBytes(burstBytes)
-    , m_balance(burstBytes)
+token_bucket::token_bucket(double tokensPerSecond, double burst, time_point now)
+    : m_tokensPerSecond(tokensPerSecond)
+    , m_burst(burst)
+    , m_balance(burst)
     , m_refilledAt(now)
 {
 }
 
-bool link_budget::tryConsume(std::int64_t bytes, utils::time_point now)
+bool token_bucket::tryConsume(std::int64_t tokens, time_point now)
 {
-    m_balance = std::min(m_burstBytes, m_balance + m_bytesPerSecond * std::chrono::duration<double>(now - m_refilledAt).count());
+    m_balance = std::min(m_burst, m_balance + m_tokensPerSecond * std::chrono::duration<double>(now - m_refilledAt).count());
     m_refilledAt = now;
-    if (m_balance < static_cast<double>(bytes))
+    if (m_balance < static_cast<double>(tokens))
         return false;
-    m_balance -= static_cast<double>(bytes);
+    m_balance -= static_cast<double>(tokens);
     return true;
 }
 
-void link_budget::consume(std::int64_t bytes)
+void token_bucket::consume(std::int64_t tokens)
 {
-    m_balance -= static_cast<double>(bytes);
+    m_balance -= static_cast<double>(tokens);
 }
 
-} // namespace camphorsaddle::routing
+} // namespace camphorsaddle::utils
--- a/src/libs/utils/token_bucket.h
+++ b/src/libs/utils/token_bucket.h
@@ -4,25 +4,25 @@
 
 #include "utils/clock.h"
 
-namespace camphorsaddle::routing {
+namespace camphorsaddle::utils {
 
-//! \brief Token bucket for the bytes that one gateway may transfer across the link between regions.
-class link_budget {
+//! \brief Limits a rate, for example that of the bytes that one gateway may transfer across the link between regions.
+class token_bucket {
 public:
-    //! \a burstBytes is the capacity of the bucket. It starts full.
-    link_budget(double bytesPerSecond, double burstBytes, utils::time_point now);
+    //! \a burst is the capacity of the bucket. It starts full.
+    token_bucket(double tokensPerSecond, double burst, time_point now);
 
-    //! \brief Consumes \a bytes if the balance covers all of them; otherwise consumes nothing and returns false.
-    bool tryConsume(std::int64_t bytes, utils::time_point now);
+    //! \brief Consumes \a tokens if the balance covers all of them; otherwise consumes nothing and returns false.
+    bool tryConsume(std::int64_t tokens, time_point now);
 
-    //! \brief Consumes the bytes of a response unconditionally. The balance may become negative and delay later requests.
-    void consume(std::int64_t bytes);
+    //! \brief Consumes \a tokens unconditionally. The balance may become negative and delay later requests.
+    void consume(std::int64_t tokens);
 
 private:
-    double m_bytesPerSecond;
-    double m_burstBytes;
+    double m_tokensPerSecond;
+    double m_burst;
     double m_balance;
-    utils::time_point m_refilledAt;
+    time_point m_refilledAt;
 };
 
-} // namespace camphorsaddle::routing
+} // namespace camphorsaddle::utils
--- a/src/tasks/gateway/minion_table.h
+++ b/src/tasks/gateway/minion_table.h
@@ -5,11 +5,11 @@
 #include <utility>
 #include <vector>
 
-#include "routing/link_budget.h"
 #include "routing/minion_choice.h"
 #include "routing/minion_health.h"
 #include "routing/slot_grants.h"
 #include "utils/metrics.h"
+#include "utils/token_bucket.h"
 
 namespace camphorsaddle::routing {
 
@@ -75,7 +75,7 @@
     routing::gateway_location m_location;
     std::map<std::string, service_minions> m_services;
     std::map<std::string, routing::slot_requester> m_requesters;
-    routing::link_budget m_link;
+    utils::token_bucket m_link;
     utils::reason_counters<routing::ejection_reason, routing::ejectionReasonCount> m_ejected;
     utils::counter& m_linkBytes;
     utils::counter& m_linkRefused;
--- a/tests/auto/routing/tst_minion_health.cpp
+++ b/tests/auto/routing/tst_minion_health.cpp
@@ -2,8 +2,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "routing/connection_reuse_policy.h"
-#include "routing/link_budget.h"
 #include "routing/minion_choice.h"
+#include "utils/token_bucket.h"
 
 #include "gtest/gtest.h"
 
@@ -82,9 +82,9 @@
     }
 
     // Fails if the balance can exceed the burst size.
-    TEST(linkBudget, LimitsTheRate)
+    TEST(tokenBucket, LimitsTheRate)
     {
-        link_budget budget(1000, 500, start);
+        utils::token_bucket budget(1000, 500, start);
         int taken = 0;
         for (int step = 0; step <= 10000; ++step)
             taken += budget.tryConsume(100, start + milliseconds(step)) ? 100 : 0;
