Coordinator: Store the cancellation of an unknown job before it is acknowledged

Cause: leader_term::cancelJob and leaderless_call_handler::cancelJob answered NotFound for a job that they didn't know and left nothing behind, and the write of a job depended on its own key only. A submission that was under way at that time, in the socket of a frozen daemon, in a relay to the leader, or in a write that the store executes late, was stored afterwards.

Change: a daemon stores an early cancellation on the condition that the job isn't stored, and answers 410 after that. Both writers of jobs, the leader's and that of daemons without a leader, demand in the same transaction that there is no early cancellation. So only one of the two is ever stored, in whatever order the store executes the writes, and no reader is needed. A submission that comes later is refused with 503 at each attempt. An id of which only leftovers of an erased job are stored is treated like an unknown one.

Ruled out: a key with a lease of the store, since the store may take away such keys in an outage; a mark in the job's own key, which each new leader would load; a cancellation while the store is away, which was never acknowledged (tested now).

--- a/src/libs/utils/events.cpp
+++ b/src/libs/utils/events.cpp
@@ -71,6 +71,7 @@
         events::jobNotErased,
         events::callAnswered,
         events::writeConflict,
+        events::jobCancelledEarly,
         events::workerAnnounced,
         events::workerWithdrawn,
         events::workerEntryRejected,
--- a/src/libs/utils/events.h
+++ b/src/libs/utils/events.h
@@ -117,6 +117,7 @@
     inline constexpr event jobNotErased { 814, event_severity::Warning, "job_not_erased", "A key of a removed job could not be deleted from the store." };
     inline constexpr event callAnswered { 815, event_severity::Info, "call_answered", "A caller's request about a job was answered." };
     inline constexpr event writeConflict { 816, event_severity::Info, "write_conflict", "A leader's write found another version of its key; cause=own_write means that an earlier attempt without a reply had taken effect." };
+    inline constexpr event jobCancelledEarly { 817, event_severity::Info, "job_cancelled_early", "A daemon tried to store the cancellation of a job that the store doesn't have, so that a submission which is under way isn't stored." };
     inline constexpr event workerAnnounced { 820, event_severity::Info, "worker_announced", "A worker entry was added to the directory or changed." };
     inline constexpr event workerWithdrawn { 821, event_severity::Info, "worker_withdrawn", "A worker entry was removed from the directory." };
     inline constexpr event workerEntryRejected { 822, event_severity::Warning, "worker_entry_rejected", "A directory entry is not a valid worker entry." };
--- a/src/tasks/coordinator/coordinator_messages.h
+++ b/src/tasks/coordinator/coordinator_messages.h
@@ -40,6 +40,9 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
+//! Reason of the refusal of a job that was cancelled before it was stored.
+inline const std::string cancelledReason = "cancelled";
+
 //! \brief A caller's request about jobs, which the HTTP front end passes to the coordinator.
 struct job_call {
     std::uint64_t ticket = 0;
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -62,7 +62,7 @@
         loop(), *m_store, m_settings.leaderElection, jobs::leader_record { m_settings.daemonId, incarnation, m_settings.peerEndpoint, 0 }, [this] { onLeadershipChanged(); }, random);
     m_rulesFollower = std::make_unique<rules_follower>(
         loop(), *m_store, m_deployment, [this](const auto& rules) { onRulesChanged(rules); }, send, random);
-    m_leaderlessCalls = std::make_unique<leaderless_call_handler>(loop(), *m_store);
+    m_leaderlessCalls = std::make_unique<leaderless_call_handler>(loop(), *m_store, m_settings.earlyCancellations);
     m_admissionGate = std::make_unique<admission_gate>(*m_store);
     m_context.coordinator.open(loop(), [this](const coordinator_message& message) { onMessage(message); });
     m_rulesFollower->start();
--- a/src/tasks/coordinator/job_daemon_settings.h
+++ b/src/tasks/coordinator/job_daemon_settings.h
@@ -8,6 +8,7 @@
 #include "jobs/deployment_format.h"
 #include "jobs/engine_settings.h"
 #include "jobs/route_admission.h"
+#include "tasks/coordinator/early_cancellation_settings.h"
 #include "tasks/coordinator/lead_transfer.h"
 #include "tasks/coordinator/leader_election.h"
 #include "transport/http_client.h"
@@ -43,6 +44,7 @@
     jobs::engine_settings engine;
     leader_election_settings leaderElection;
     lead_transfer_settings leadTransfer;
+    early_cancellation_settings earlyCancellations;
 };
 
 //! \brief Data formats of a deployment and factories for the clients of its store and workers.
--- a/src/tasks/coordinator/leader_election.cpp
+++ b/src/tasks/coordinator/leader_election.cpp
@@ -32,6 +32,11 @@
         return jobPrefix(id) + "cancelled";
     }
 
+    std::string earlyCancellation(const std::string& id)
+    {
+        return absl::StrCat(earlyCancellationPrefix, id);
+    }
+
 } // namespace store_keys
 
 namespace {
--- a/src/tasks/coordinator/leader_election.h
+++ b/src/tasks/coordinator/leader_election.h
@@ -41,6 +41,8 @@
     inline const std::string roster = "camphorsaddle/roster";
     inline const std::string learned = "camphorsaddle/learned";
     inline const std::string jobsPrefix = "camphorsaddle/job/";
+    //! One entry for each cancellation of a job that the store didn't have. A job with such an entry must not be stored.
+    inline const std::string earlyCancellationPrefix = "camphorsaddle/early-cancellation/";
     //! One entry for each job or cancellation that was stored without the leader and that it has to adopt.
     inline const std::string inboxPrefix = "camphorsaddle/inbox/";
     //! Value of the inbox entry of a cancellation.
@@ -49,6 +51,7 @@
     std::string job(const std::string& id);
     std::string progress(const std::string& id);
     std::string cancellation(const std::string& id);
+    std::string earlyCancellation(const std::string& id);
     std::string jobPrefix(const std::string& id);
 } // namespace store_keys
 
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -50,11 +50,12 @@
     , m_decisionTickTimer(loop, [this] { scheduleDecisions(); })
     , m_decisionTimer(loop, [this] { runDecisions(); })
     , m_reloadTimer(loop, [this] { loadJobs(); })
-    , m_housekeepingTimer(loop, [this] { writeRoster(); writeHistory(); eraseFinishedJobs(); recordOutcomes(); m_eventLog.reportLeftOutLines(); })
+    , m_housekeepingTimer(loop, [this] { writeRoster(); writeHistory(); eraseFinishedJobs(); eraseEarlyCancellations(); recordOutcomes(); m_eventLog.reportLeftOutLines(); })
     , m_refreshTimer(loop, [this] { refreshWatches(); writeRoster(); })
     , m_startedAt(utils::nowIncludingSuspend())
     , m_learnedWriteTimer(loop, [this] { writeLearnedRecord(); })
     , m_formerLeaders(election.formerLeaders(), election.ownRecord())
+    , m_earlyCancellationSweep(settings.earlyCancellations)
 {
     m_workerWatch.setBatchingDelay(workerBatchingDelay);
     if (!settings.engine.maximumEvacuationsAge || deployment.evacuationKeyPrefix().empty())
@@ -303,7 +304,8 @@
         return;
     m_writer.enqueue({ store_keys::job(id), jobs::encodeJob(call.job), 0, now + call.timeout, true, [this, job = call.job](write_outcome outcome, external::revision, const external::key_value*) {
                           completeSubmission(job, outcome);
-                      } },
+                      },
+                         store_keys::earlyCancellation(id) },
         true);
 }
 
@@ -321,6 +323,11 @@
         result.reason = "known";
         result.outcome = m_engine.hasJob(job.id) ? call_outcome::Done : call_outcome::Indeterminate;
         break;
+    case write_outcome::Excluded:
+        // Also true if an earlier attempt got no answer: it can't take effect while the early cancellation is stored.
+        result.outcome = call_outcome::Refused;
+        result.reason = cancelledReason;
+        break;
     case write_outcome::Deposed:
         result.outcome = call_outcome::NotLeader;
         break;
@@ -463,6 +470,7 @@
                                   m_progressVersions[job] = present == nullptr ? 0 : present->version;
                                   m_engine.requeueProgressWrite(job);
                                   break;
+                              case write_outcome::Excluded:
                               case write_outcome::NotWritten:
                               case write_outcome::Indeterminate:
                                   m_engine.requeueProgressWrite(job);
@@ -553,4 +561,26 @@
     }
 }
 
+void leader_term::eraseEarlyCancellations()
+{
+    if (!m_earlyCancellationSweep.beginPage(utils::nowIncludingSuspend()))
+        return;
+    m_store.list(store_keys::earlyCancellationPrefix, m_earlyCancellationSweep.previousKey(), early_cancellation_sweep::pageSize + 1, [this, self = weak_from_this()](const absl::StatusOr<external::key_listing>& page) {
+        const auto guard = self.lock();
+        if (!guard || m_hasEnded)
+            return;
+        if (!page.ok())
+            utils::logEvent(utils::events::storeUnavailable, { { "step", "list early cancellations" }, { "error", utils::describe(page.status()) } });
+        const auto now = utils::nowIncludingSuspend();
+        for (const auto& entry : m_earlyCancellationSweep.handlePage(page, now)) {
+            // A conflict means that the job was cancelled once more; the new entry is erased later.
+            m_writer.enqueue({ entry.key, std::nullopt, entry.version, now + leaderWriteTimeout, false, [key = entry.key](write_outcome outcome, external::revision, const external::key_value*) {
+                                  if (outcome != write_outcome::Committed)
+                                      utils::logEvent(utils::events::jobNotErased, { { "key", key } });
+                              } },
+                false);
+        }
+    });
+}
+
 } // namespace camphorsaddle::tasks
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -10,6 +10,7 @@
 #include "jobs/job_engine.h"
 #include "tasks/coordinator/coordinator_messages.h"
 #include "tasks/coordinator/decision_pacer.h"
+#include "tasks/coordinator/early_cancellation_sweep.h"
 #include "tasks/coordinator/former_leaders.h"
 #include "tasks/coordinator/inbox_tracker.h"
 #include "tasks/coordinator/job_daemon_settings.h"
@@ -99,6 +100,7 @@
     //! \brief Stores that no former leader has to be considered by the next one, once the engine knows all their runs.
     void writeHistory();
     void eraseFinishedJobs();
+    void eraseEarlyCancellations();
 
     const deployment_adapter& m_deployment;
     external::transactional_store& m_store;
@@ -141,6 +143,7 @@
     former_leaders m_formerLeaders;
     bool m_haveFormerLeadersEnded = false;
     bool m_isHistoryWritten = false;
+    early_cancellation_sweep m_earlyCancellationSweep;
 };
 
 } // namespace camphorsaddle::tasks
--- a/src/tasks/coordinator/leader_writer.cpp
+++ b/src/tasks/coordinator/leader_writer.cpp
@@ -14,6 +14,13 @@
     constexpr utils::milliseconds retryDelay { 150 };
     // The store replies within milliseconds, but a leader with a full processor handles replies late.
     constexpr std::size_t maximumInFlightTransactions = 12;
+    // An expectation and a change.
+    constexpr std::size_t entriesPerWrite = 2;
+
+    std::size_t entryCount(const leader_write& write)
+    {
+        return entriesPerWrite + (write.excludingKey.empty() ? 0 : 1);
+    }
 
 } // namespace
 
@@ -27,15 +34,14 @@
 
 leader_writer::~leader_writer() = default;
 
-// Each write needs two entries, an expectation and a change; the leader key needs one more expectation.
-std::size_t leader_writer::maximumBatchSize() const
+std::size_t leader_writer::entriesForWrites() const
 {
-    return (m_store.entryLimit() - 1) / 2;
+    return m_store.entryLimit() - 1;
 }
 
 std::size_t leader_writer::freeCapacity() const
 {
-    const auto capacity = maximumInFlightTransactions * maximumBatchSize();
+    const auto capacity = maximumInFlightTransactions * (entriesForWrites() / entriesPerWrite);
     return capacity - std::min(capacity, m_ordinaryWrites.size() + m_urgentWrites.size());
 }
 
@@ -72,8 +78,10 @@
 {
     while (m_inFlight.size() < (m_isStoreFailing ? 1 : maximumInFlightTransactions) && (!m_urgentWrites.empty() || !m_ordinaryWrites.empty())) {
         batch writes;
+        auto entriesLeft = entriesForWrites();
         for (auto* queue : { &m_urgentWrites, &m_ordinaryWrites }) {
-            while (!queue->empty() && writes.size() < maximumBatchSize()) {
+            while (!queue->empty() && entryCount(queue->front().write) <= entriesLeft) {
+                entriesLeft -= entryCount(queue->front().write);
                 writes.push_back(std::move(queue->front()));
                 queue->pop_front();
             }
@@ -88,6 +96,8 @@
     change.expected.push_back({ m_leaderKey, m_leaderKeyVersion });
     for (const auto& queued : writes) {
         change.expected.push_back({ queued.write.key, queued.write.expectedVersion });
+        if (!queued.write.excludingKey.empty())
+            change.expected.push_back({ queued.write.excludingKey, 0 });
         if (queued.write.value)
             change.puts.push_back({ queued.write.key, *queued.write.value, 0 });
         else
@@ -164,8 +174,12 @@
         if (alive.expired())
             return;
         const auto* value = find(queued.write.key);
+        const bool isExcluded = !queued.write.excludingKey.empty() && find(queued.write.excludingKey) != nullptr;
         if ((value == nullptr ? 0 : value->version) == queued.write.expectedVersion) {
-            remaining.push_back(std::move(queued));
+            if (isExcluded)
+                queued.write.done(write_outcome::Excluded, 0, nullptr);
+            else
+                remaining.push_back(std::move(queued));
             continue;
         }
         const bool isOwnEarlierWrite = queued.mayBeWritten && (queued.write.value ? value != nullptr && value->value == *queued.write.value : value == nullptr);
--- a/src/tasks/coordinator/leader_writer.h
+++ b/src/tasks/coordinator/leader_writer.h
@@ -16,6 +16,8 @@
     Committed,
     //! The key had another version; nothing was written.
     Conflict,
+    //! The key that must not exist does; nothing was written.
+    Excluded,
     //! The leader key has changed, so another daemon may lead; the write did not take effect.
     Deposed,
     //! The write did not take effect.
@@ -38,6 +40,8 @@
     //! Called once with the outcome. \a at is the version of the key after a commit. \a present is the current value after
     //! a conflict, null if the key does not exist.
     std::function<void(write_outcome outcome, external::revision at, const external::key_value* present)> done;
+    //! Another key that must not exist; empty for none.
+    std::string excludingKey {};
 };
 
 //! \brief Batches the leader's writes into transactions that commit only while the leader key is unchanged.
@@ -74,7 +78,8 @@
     void processResult(batch& writes, const absl::StatusOr<external::transaction_result>& result);
     void processConflict(batch& writes, const std::vector<external::key_value>& present);
     void requeue(batch& writes);
-    std::size_t maximumBatchSize() const;
+    //! \brief Number of entries that a transaction has for its writes, beside the expectation of the leader key.
+    std::size_t entriesForWrites() const;
 
     external::transactional_store& m_store;
     std::string m_leaderKey;
--- a/src/tasks/coordinator/leaderless_call_handler.cpp
+++ b/src/tasks/coordinator/leaderless_call_handler.cpp
@@ -1,5 +1,7 @@
 #include "tasks/coordinator/leaderless_call_handler.h"
 
+#include <algorithm>
+
 #include "jobs/job_record.h"
 #include "tasks/coordinator/leader_election.h"
 #include "utils/errors.h"
@@ -13,6 +15,8 @@
     // Time kept free so that the reply reaches the caller before its timeout.
     constexpr utils::milliseconds replyMargin { 150 };
     constexpr utils::milliseconds storeOutageRetryAfter { 1500 };
+    // The budget for further early cancellations grows by a few in this time.
+    constexpr utils::milliseconds cancellationLimitRetryAfter { 2000 };
 
     jobs::job_phase readPhase(const external::key_listing& listing, const std::string& id)
     {
@@ -38,17 +42,26 @@
     utils::time_point deadline;
     bool mayBeStored = false;
     external::revision recordVersion = 0;
+    //! The budget for early cancellations covers the call.
+    bool isBudgeted = false;
     std::unique_ptr<transport::timer> retryTimer;
 
     void respond(call_outcome outcome, jobs::job_phase phase = jobs::job_phase::Queued, const std::string& reason = {}) const
     {
         reply({ call.ticket, outcome, phase, 0, outcome == call_outcome::Refused ? storeOutageRetryAfter : utils::milliseconds(0), reason });
     }
+
+    void refuse(const std::string& reason, utils::milliseconds retryAfter) const
+    {
+        reply({ call.ticket, call_outcome::Refused, jobs::job_phase::Queued, 0, retryAfter, reason });
+    }
 };
 
-leaderless_call_handler::leaderless_call_handler(transport::event_loop& loop, external::transactional_store& store)
+leaderless_call_handler::leaderless_call_handler(transport::event_loop& loop, external::transactional_store& store, const early_cancellation_settings& settings)
     : m_loop(loop)
     , m_store(store)
+    , m_earlyCancellations(loop, store)
+    , m_earlyCancellationBudget(settings.perSecond, settings.burst, utils::nowIncludingSuspend())
 {
 }
 
@@ -101,7 +114,7 @@
 {
     const auto& id = attempt->call.job.id;
     external::transaction change;
-    change.expected = { { store_keys::job(id), 0 } };
+    change.expected = { { store_keys::job(id), 0 }, { store_keys::earlyCancellation(id), 0 } };
     change.puts = { { store_keys::job(id), jobs::encodeJob(attempt->call.job), 0 }, { store_keys::inboxPrefix + id, "submitted", 0 } };
     m_store.transact(change, [this, attempt, alive = std::weak_ptr(m_alive)](const absl::StatusOr<external::transaction_result>& result) {
         if (alive.expired())
@@ -110,6 +123,16 @@
             retryOrFail(attempt, result.status(), &leaderless_call_handler::submitJob);
             return;
         }
+        const auto isPresent = [&](const std::string& key) {
+            return std::ranges::find(result->present, key, &external::key_value::key) != result->present.end();
+        };
+        const auto& id = attempt->call.job.id;
+        if (!result->isCommitted && !isPresent(store_keys::job(id)) && isPresent(store_keys::earlyCancellation(id))) {
+            // No attempt can take effect any more, whatever has become of the earlier ones.
+            utils::logEvent(utils::events::jobSettled, { { "job", id }, { "outcome", "refused" }, { "reason", cancelledReason } });
+            attempt->refuse(cancelledReason, utils::milliseconds(0));
+            return;
+        }
         if (!result->isCommitted) {
             announceKnownJob(attempt);
             return;
@@ -161,17 +184,19 @@
             retryOrFail(attempt, listing.status(), &leaderless_call_handler::cancelJob);
             return;
         }
+        const auto record = std::ranges::find(listing->entries, store_keys::job(attempt->call.subject), &external::key_value::key);
+        // Other keys may be left for a moment of an ended job that is being erased.
+        if (record == listing->entries.end()) {
+            storeEarlyCancellation(attempt);
+            return;
+        }
         const auto phase = readPhase(*listing, attempt->call.subject);
         // A cancellation that is stored already may be a leader's write without an answer, which no inbox entry tells of.
-        const bool hasEnded = jobs::isFinal(phase) && phase != jobs::job_phase::Cancelled;
-        if (listing->entries.empty() || hasEnded) {
-            attempt->respond(listing->entries.empty() ? call_outcome::NotFound : call_outcome::Done, phase);
+        if (jobs::isFinal(phase) && phase != jobs::job_phase::Cancelled) {
+            attempt->respond(call_outcome::Done, phase);
             return;
         }
-        for (const auto& entry : listing->entries) {
-            if (entry.key == store_keys::job(attempt->call.subject))
-                attempt->recordVersion = entry.version;
-        }
+        attempt->recordVersion = record->version;
         storeCancellation(attempt);
     });
 }
@@ -194,4 +219,23 @@
     });
 }
 
+void leaderless_call_handler::storeEarlyCancellation(const std::shared_ptr<call_attempt>& attempt)
+{
+    attempt->isBudgeted = attempt->isBudgeted || m_earlyCancellationBudget.tryConsume(1, utils::nowIncludingSuspend());
+    if (!attempt->isBudgeted) {
+        attempt->refuse("too_many_cancellations", cancellationLimitRetryAfter);
+        return;
+    }
+    m_earlyCancellations.store(attempt->call.subject, [this, attempt](const absl::StatusOr<bool>& isStored) {
+        const std::string outcome = isStored.value_or(false) ? "stored" : "job_exists";
+        utils::logEvent(utils::events::jobCancelledEarly, { { "job", attempt->call.subject }, { "outcome", isStored.ok() ? outcome : utils::describe(isStored.status()) } });
+        if (!isStored.ok())
+            retryOrFail(attempt, isStored.status(), &leaderless_call_handler::storeEarlyCancellation);
+        else if (*isStored)
+            attempt->respond(call_outcome::NotFound, jobs::job_phase::Cancelled);
+        else
+            cancelJob(attempt);
+    });
+}
+
 } // namespace camphorsaddle::tasks
--- a/src/tasks/coordinator/leaderless_call_handler.h
+++ b/src/tasks/coordinator/leaderless_call_handler.h
@@ -5,7 +5,10 @@
 
 #include "external/transactional_store.h"
 #include "tasks/coordinator/coordinator_messages.h"
+#include "tasks/coordinator/early_cancellation_settings.h"
+#include "tasks/coordinator/early_cancellation_writer.h"
 #include "transport/event_loop.h"
+#include "utils/token_bucket.h"
 
 namespace camphorsaddle::tasks {
 
@@ -16,7 +19,7 @@
 public:
     using reply_callback = std::function<void(job_reply)>;
 
-    leaderless_call_handler(transport::event_loop& loop, external::transactional_store& store);
+    leaderless_call_handler(transport::event_loop& loop, external::transactional_store& store, const early_cancellation_settings& settings = {});
     ~leaderless_call_handler();
     leaderless_call_handler(const leaderless_call_handler&) = delete;
     leaderless_call_handler& operator=(const leaderless_call_handler&) = delete;
@@ -33,10 +36,14 @@
     void readStatus(const std::shared_ptr<call_attempt>& attempt);
     void cancelJob(const std::shared_ptr<call_attempt>& attempt);
     void storeCancellation(const std::shared_ptr<call_attempt>& attempt);
+    //! \brief Keeps a job that the store doesn't have from being stored, since its submission may be under way.
+    void storeEarlyCancellation(const std::shared_ptr<call_attempt>& attempt);
     void retryOrFail(const std::shared_ptr<call_attempt>& attempt, const absl::Status& status, void (leaderless_call_handler::*step)(const std::shared_ptr<call_attempt>&));
 
     transport::event_loop& m_loop;
     external::transactional_store& m_store;
+    early_cancellation_writer m_earlyCancellations;
+    utils::token_bucket m_earlyCancellationBudget;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/tests/auto/tasks/memory_store.h
+++ b/tests/auto/tasks/memory_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <set>
@@ -40,6 +41,8 @@
     bool refusesLeaseRenewals = false;
     //! Listings and watches of this prefix are refused; empty for none.
     std::string refusedPrefix;
+    //! The next transaction that writes this key waits for executeHeldTransaction() and gets no reply; empty for none.
+    std::string heldKey;
     //! Prefixes that were listed or watched.
     std::set<std::string> requestedPrefixes;
     std::map<std::string, external::key_value> content;
@@ -69,6 +72,12 @@
         postReply(std::exchange(m_delayedReply, {}));
     }
 
+    //! \brief Executes the held transaction, as a store does seconds after the call.
+    void executeHeldTransaction()
+    {
+        apply(m_heldTransaction);
+    }
+
     std::size_t entryLimit() const override
     {
         return 32;
@@ -81,6 +90,12 @@
             postReply([callback] { callback(absl::UnavailableError("refused")); });
             return;
         }
+        if (!heldKey.empty() && std::ranges::find(change.puts, heldKey, &external::key_put::key) != change.puts.end()) {
+            m_heldTransaction = change;
+            heldKey.clear();
+            postReply([callback] { callback(absl::DeadlineExceededError("no reply")); });
+            return;
+        }
         auto result = apply(change);
         if (replyMode == reply_mode::RepeatsTransactions)
             result = apply(change);
@@ -234,6 +249,7 @@
     std::vector<std::pair<std::string, external::store_callback<external::watch_result>>> m_watches;
     std::map<std::string, external::revision> m_removals;
     std::function<void()> m_delayedReply;
+    external::transaction m_heldTransaction;
     external::revision m_revision = 1;
 };
 
