--- a/tests/auto/callers/crowd.cpp
+++ b/tests/auto/callers/crowd.cpp
@@ -29,19 +29,32 @@
         return result;
     }
 
-    int openConnection(const address& server, const std::string& ownIp)
-    {
-        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        const auto own = socketAddress(ownIp, 0);
-        const auto peer = socketAddress(server.ip, server.port);
-        if (bind(descriptor, reinterpret_cast<const sockaddr*>(&own), sizeof own) == 0 && connect(descriptor, reinterpret_cast<const sockaddr*>(&peer), sizeof peer) == 0)
-            return descriptor;
-        close(descriptor);
-        return -1;
-    }
-
 } // namespace
 
+int openConnection(const address& server, const std::string& ownIp)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto own = socketAddress(ownIp, 0);
+    const auto peer = socketAddress(server.ip, server.port);
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &responseTimeout, sizeof responseTimeout);
+    setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &responseTimeout, sizeof responseTimeout);
+    if (bind(descriptor, reinterpret_cast<const sockaddr*>(&own), sizeof own) == 0 && connect(descriptor, reinterpret_cast<const sockaddr*>(&peer), sizeof peer) == 0)
+        return descriptor;
+    close(descriptor);
+    return -1;
+}
+
+bool sendAll(int descriptor, const std::string& data)
+{
+    for (std::size_t sent = 0; sent < data.size();) {
+        const auto size = ::send(descriptor, data.data() + sent, data.size() - sent, MSG_NOSIGNAL);
+        if (size <= 0)
+            return false;
+        sent += static_cast<std::size_t>(size);
+    }
+    return true;
+}
+
 crowd::crowd(const std::vector<address>& servers, const std::string& ownIp, client_script script, std::size_t clientCount)
     : m_script(std::move(script))
 {
@@ -106,14 +119,8 @@
     const int descriptor = openConnection(server, ownIp);
     if (descriptor < 0)
         return {};
-    setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &responseTimeout, sizeof responseTimeout);
-    setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &responseTimeout, sizeof responseTimeout);
-    for (std::size_t sent = 0; sent < request.size();) {
-        const auto size = ::send(descriptor, request.data() + sent, request.size() - sent, MSG_NOSIGNAL);
-        if (size <= 0)
-            break;
-        sent += static_cast<std::size_t>(size);
-    }
+    // A server that refuses the request may close the connection before all is sent; its response counts all the same.
+    sendAll(descriptor, request);
     std::string received;
     std::array<char, 4096> buffer {};
     for (;;) {
--- a/tests/auto/callers/crowd.h
+++ b/tests/auto/callers/crowd.h
@@ -51,6 +51,12 @@
     std::size_t m_connectedCount = 0;
 };
 
+//! \brief Opens a connection from \a ownIp, whose calls fail after a minute; returns -1 if that fails.
+int openConnection(const address& server, const std::string& ownIp);
+
+//! \brief Sends all of \a data; returns false if the connection fails.
+bool sendAll(int descriptor, const std::string& data);
+
 //! \brief Sends \a request on a connection of its own and returns all that is received; empty if there is no complete response head.
 std::string exchange(const address& server, const std::string& ownIp, const std::string& request);
 
--- a/tests/auto/callers/tst_callers_outside_limits.cpp
+++ b/tests/auto/callers/tst_callers_outside_limits.cpp
@@ -16,6 +16,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "callers/crowd.h"
+#include "callers/daemon_under_test.h"
 #include "end_to_end/child_process.h"
 #include "nlohmann/json.hpp"
 
@@ -91,7 +92,7 @@
         , m_folder(std::filesystem::temp_directory_path() / absl::StrCat("callers-", getpid()))
     {
         std::filesystem::create_directories(m_folder);
-        const auto settings = kind == daemon_kind::Platform ? platformSettings(descriptors) : ownSettings(descriptors);
+        const auto settings = kind == daemon_kind::Platform ? callers::platformSettings({ "n", m_ip, front().port, operators().port, absl::StrCat(m_ip, ":1"), memoryMegabytes, descriptors }) : ownSettings(descriptors);
         const auto path = m_folder / "settings.json";
         std::ofstream(path) << settings.dump();
         setenv("CAMPHORSADDLE_SETTINGS", path.c_str(), 1);
@@ -145,35 +146,16 @@
 
     std::size_t descriptorCount() const
     {
-        std::error_code error;
-        const std::filesystem::directory_iterator entries(absl::StrCat("/proc/", m_process->id(), "/fd"), error);
-        return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+        return callers::descriptorCount(m_process->id());
     }
 
     //! \brief Largest resident memory that the process has had.
     std::size_t peakMemoryKilobytes() const
     {
-        std::ifstream status(absl::StrCat("/proc/", m_process->id(), "/status"));
-        for (std::string name; status >> name;) {
-            std::size_t value = 0;
-            if (name == "VmHWM:" && status >> value)
-                return value;
-        }
-        return 0;
+        return callers::peakMemoryKilobytes(m_process->id());
     }
 
 private:
-    nlohmann::json platformSettings(std::size_t descriptors) const
-    {
-        return {
-            { "NodeName", "n" }, { "Zone", "z" }, { "Ip", m_ip }, { "HeartbeatMs", 2000 },
-            { "BindAddrs", { { "Front", absl::StrCat(m_ip, ":", front().port) }, { "Readiness", absl::StrCat(m_ip, ":8002") } } },
-            { "PortRange", { 7000, 7010 } }, { "platform", { { "Address", absl::StrCat(m_ip, ":1") }, { "TtlMinMs", 1000 } } },
-            { "Limits", { { "CpuShare", 0.1 }, { "MemoryMb", memoryMegabytes }, { "MaxFds", descriptors } } },
-            { "Bounds", { { "GraceS", 6 }, { "ConfigApplyMs", 2500 }, { "MaxHoldMs", 10000 }, { "StopMs", 400 }, { "ContactMs", 4000 }, { "DrainMs", 2500 }, { "cancel_ms", 3000 }, { "status_s", 120 } } }
-        };
-    }
-
     //! The settings name what the daemon of the platform derives from the memory and the descriptors.
     nlohmann::json ownSettings(std::size_t descriptors) const
     {
