Platform: Keep no more of a submission than its format allows

Callers outside the limits made the leader exceed its machine's memory with specifications of 262,000 bytes (157 MB of 64 MB after 400 of them in complete_requests) and with dependencies that are repeated 100,000 times (150 MB after 300). The specification may have 4,000 bytes, the same limit that was meant for checkpoints applied to it; dependencies were kept as often as they were named.

Longer specifications are refused with 400, and each dependency is kept once, which changes nothing for the job. JobBody tests in platform_formats.

--- a/tests/auto/platform/tst_formats.cpp
+++ b/tests/auto/platform/tst_formats.cpp
@@ -76,6 +76,9 @@
         job_body_case { "noSteps", R"({"Spec":"x"})", absl::StatusCode::kInvalidArgument },
         job_body_case { "notJson", "Steps", absl::StatusCode::kInvalidArgument },
         job_body_case { "mistyped", R"({"Steps":[{"Count":"four"}]})", absl::StatusCode::kInvalidArgument },
+        job_body_case { "longestSpec", R"({"Spec":")" + std::string(4000, 's') + R"(","Steps":[{"Count":4}]})", absl::StatusCode::kOk },
+        // The text of a job is kept as long as the job; longer ones filled the memory of the leader.
+        job_body_case { "tooLongSpec", R"({"Spec":")" + std::string(4001, 's') + R"(","Steps":[{"Count":4}]})", absl::StatusCode::kInvalidArgument },
         job_body_case { "gang", R"({"Steps":[{"Count":4,"Gang":true}]})", absl::StatusCode::kUnimplemented },
         job_body_case { "timed", R"({"Times":3,"Steps":[{"Count":4}]})", absl::StatusCode::kUnimplemented }),
     [](const auto& info) { return std::string(info.param.name); });
@@ -85,6 +88,14 @@
     EXPECT_EQ(parseJobBody(GetParam().body).status().code(), GetParam().code);
 }
 
+// A body of legal size can repeat a dependency a hundred thousand times.
+TEST(JobBody, KeepsEachDependencyOnce)
+{
+    const auto job = parseJobBody(R"({"Spec":"x","Steps":[{"Count":1},{"Count":1},{"Count":1,"After":[1,0,1,1,0]}]})");
+    ASSERT_TRUE(job.ok());
+    EXPECT_EQ(job->steps[2].after, (std::vector<unsigned> { 0, 1 }));
+}
+
 TEST(Configuration, QueueIsMatchedByHostAndLongestPrefix)
 {
     const auto rules = parseConfiguration(R"({"Version":7,"Routes":[
