Jobs: Release the tasks and the text of jobs that have ended

The engine kept all tasks and the text of each ended job as long as callers may ask for it, 150 s, and a new leader loaded them in full. Now both are released five seconds after the end, once the end is stored and no run or reservation is left, and at once for ended jobs that a new leader loads. What is kept, the phase and the steps, takes less than a tenth for a job of 100 tasks. A start that a worker executes late may still bring a run of such a job: its tasks are created again, so that the run is stopped.

--- a/src/libs/jobs/job_engine.cpp
+++ b/src/libs/jobs/job_engine.cpp
@@ -107,15 +107,7 @@
     state.spec = job;
     state.acceptedAt = now;
     state.sizeGroup = sizeGroupOf(job);
-    for (const auto& step : job.steps) {
-        state.steps.emplace_back();
-        state.steps.back().tasks.resize(step.count);
-        state.steps.back().image = m_interference.indexOf(step.image);
-    }
-    for (auto& step : state.steps) {
-        for (auto& task : step.tasks)
-            task.lastRun = (m_term - 1) * m_settings.runNumbersPerTerm;
-    }
+    createSteps(state);
     m_jobs[job.id] = std::move(owned);
     m_activeJobs.push_back(&state);
     return state;
@@ -366,23 +358,6 @@
     m_durationRatios = learned.ratios;
 }
 
-std::vector<std::string> job_engine::forgetFinishedJobs(utils::time_point now, std::size_t limit)
-{
-    std::vector<std::string> forgotten;
-    for (const auto& [id, job] : m_jobs) {
-        if (forgotten.size() >= limit)
-            break;
-        const bool hasRuns = std::ranges::any_of(job->steps, [](const auto& step) {
-            return std::ranges::any_of(step.tasks, [](const auto& task) { return !task.runs.empty(); });
-        });
-        if (isFinal(job->phase) && now > job->endedAt + m_settings.finishedJobRetention && !hasRuns && job->storedVersion >= job->version)
-            forgotten.push_back(id);
-    }
-    for (const auto& id : forgotten)
-        m_jobs.erase(id);
-    return forgotten;
-}
-
 bool job_engine::hasJob(const std::string& id) const
 {
     return m_jobs.contains(id);
--- a/src/libs/jobs/job_engine.h
+++ b/src/libs/jobs/job_engine.h
@@ -120,6 +120,8 @@
     void markRosterStored(std::vector<roster_worker> workers);
     learned_record learned() const;
     void restoreLearned(const learned_record& learned);
+    //! \brief Releases what isn't needed any more of jobs that have ended: the payload and the states of the tasks.
+    void releaseEndedJobs(utils::time_point now);
     //! \brief Removes jobs that ended before the retention time, at most \a limit, and returns their ids.
     std::vector<std::string> forgetFinishedJobs(utils::time_point now, std::size_t limit);
 
@@ -140,6 +142,8 @@
     //! \brief Number of the queue's jobs of which no task has started.
     std::uint64_t pending(const std::string& queue) const;
     std::size_t unfinishedJobCount() const;
+    //! \brief Estimate of the bytes that all jobs take.
+    std::uint64_t heldMemory() const;
     //! \brief Whether workers may execute runs of former leaders that this one doesn't know.
     bool isRestoring() const;
     //! \brief Whether a worker has rejected an order because it knows a higher fencing token, that of a newer leader, or the term has no
@@ -210,6 +214,11 @@
 
     // Jobs.
     job_state& insertJob(const job_spec& job, utils::time_point now);
+    void countMemory(job_state& job, std::uint64_t bytes);
+    //! \brief Creates the states of the steps and tasks of a job that has none.
+    void createSteps(job_state& job);
+    //! \brief Releases the payload and the states of the steps and tasks.
+    void releaseJob(job_state& job);
     void updateStepReadiness(job_state& job, utils::time_point now);
     void endJob(job_state& job, job_phase phase, utils::time_point now, const std::string& reason);
     void markChanged(job_state& job);
@@ -238,6 +247,8 @@
     void stopRun(run_state& run, utils::time_point now, const std::string& reason);
     run_state* findRun(worker_state& worker, const external::run_id& id);
     task_state* findTask(const external::run_id& id, job_state** job);
+    //! \brief Creates the states of a released job again and returns the task; null if there is no such task of a released job.
+    task_state* recreateTask(const external::run_id& id, job_state** job);
     task_state& taskOf(const run_state& run);
     void completeTask(job_state& job, unsigned step, unsigned index, utils::time_point now);
     void recordTaskFailure(job_state& job, unsigned step, unsigned index, std::uint64_t run, worker_state& worker, utils::time_point now);
@@ -447,6 +458,7 @@
     //! New rules may decide on failures that couldn't be judged.
     bool m_mayJudgeFailures = false;
     std::unordered_map<std::string, std::unique_ptr<job_state>> m_jobs;
+    std::uint64_t m_heldMemory = 0;
     std::map<std::string, std::unique_ptr<worker_state>> m_workers;
     //! The same workers, in the same order, for the loops of each decision.
     std::vector<worker_state*> m_workerList;
--- a/src/libs/jobs/job_engine_observations.cpp
+++ b/src/libs/jobs/job_engine_observations.cpp
@@ -341,6 +341,8 @@
     if (run == nullptr) {
         job_state* job = nullptr;
         auto* task = findTask(report.run, &job);
+        if (task == nullptr && isNewest)
+            task = recreateTask(report.run, &job);
         if (task == nullptr) {
             m_onEvent({ engine_event_kind::RunAdopted, report.run.task.job, "", worker.description.id, "run of an unknown job" });
             return nullptr;
--- a/src/libs/jobs/job_engine_takeover.cpp
+++ b/src/libs/jobs/job_engine_takeover.cpp
@@ -36,6 +36,7 @@
         state.phase = isCancelled ? job_phase::Cancelled : progress.phase;
         state.endedAt = now;
         std::erase(m_activeJobs, &state);
+        releaseJob(state);
         return;
     }
     updateStepReadiness(state, now);
--- a/src/libs/jobs/job_state.h
+++ b/src/libs/jobs/job_state.h
@@ -172,8 +172,13 @@
 };
 
 struct job_state {
+    //! Without the payload once the states of the tasks are released.
     job_spec spec;
     job_phase phase = job_phase::Queued;
+    //! The job has ended, and the states of its steps and tasks are released.
+    bool isReleased = false;
+    //! Bytes that count for it, see job_engine::heldMemory().
+    std::uint64_t heldMemory = 0;
     //! Set when a job is accepted or restored.
     size_group sizeGroup = size_group::Rest;
     std::vector<step_state> steps;
--- a/tests/auto/jobs/simulated_fleet.cpp
+++ b/tests/auto/jobs/simulated_fleet.cpp
@@ -367,6 +367,7 @@
 
 void simulated_fleet::storeProgress()
 {
+    m_engine->releaseEndedJobs(m_now);
     if (m_isStoreDown)
         return;
     if (m_engine->needsRosterWrite()) {
