Coordinator: Load the stored jobs page by page

A new leader read all stored jobs at once, parsed all of them and handed them to the engine after that, so that they were in memory three times. The number of calls stays the same, since the store returns at most 500 entries at a time anyway.

Each page is handed on before the next one is asked for; the keys of a job may stand on two pages. After a failed page the load goes on with the same one. Jobs and cancellations that are stored meanwhile have inbox entries.

--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -54,6 +54,7 @@
     , m_refreshTimer(loop, [this] { refreshWatches(); writeRoster(); })
     , m_startedAt(utils::nowIncludingSuspend())
     , m_learnedWriteTimer(loop, [this] { writeLearnedRecord(); })
+    , m_storedJobs([this](const stored_job& job) { m_engine.restore(job.spec, job.progress, job.isCancelled, utils::nowIncludingSuspend()); }, [this](const auto& id, auto version) { m_progressVersions[id] = version; })
     , m_formerLeaders(election.formerLeaders(), election.ownRecord())
     , m_earlyCancellationSweep(settings.earlyCancellations)
 {
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -19,6 +19,7 @@
 #include "tasks/coordinator/leader_writer.h"
 #include "tasks/coordinator/prefix_watch.h"
 #include "tasks/coordinator/relayed_run_control.h"
+#include "tasks/coordinator/stored_jobs.h"
 #include "tasks/coordinator/worker_directory.h"
 
 namespace camphorsaddle::tasks {
@@ -67,7 +68,6 @@
     void loadJobs();
     void loadLearnedRecord();
     void loadRoster();
-    void restoreJobs(const external::key_listing& listing);
     void startServing(const jobs::worker_roster& roster);
     void onWorkerEntry(const std::string& key, const external::key_value* value);
     void onInboxEntry(const std::string& key, const external::key_value* value);
@@ -133,6 +133,7 @@
     std::set<std::string> m_unsettledSubmissions;
     //! Version of the stored progress by job id.
     std::map<std::string, external::revision> m_progressVersions;
+    stored_jobs m_storedJobs;
     //! Ids of jobs whose progress is being written to the store.
     external::revision m_rosterVersion = 0;
     bool m_isStoringRoster = false;
--- a/src/tasks/coordinator/leader_term_load.cpp
+++ b/src/tasks/coordinator/leader_term_load.cpp
@@ -1,7 +1,3 @@
-#include <map>
-#include <optional>
-
-#include "absl/strings/strip.h"
 #include "input/printable_text.h"
 #include "tasks/coordinator/leader_term.h"
 #include "utils/errors.h"
@@ -23,62 +19,22 @@
 
 void leader_term::loadJobs()
 {
-    m_store.list(store_keys::jobsPrefix, "", 0, [this, self = weak_from_this()](absl::StatusOr<external::key_listing> listing) {
+    m_store.list(store_keys::jobsPrefix, m_storedJobs.previousKey(), stored_jobs::pageSize, [this, self = weak_from_this()](const absl::StatusOr<external::key_listing>& page) {
         const auto guard = self.lock();
         if (!guard)
             return;
-        if (!listing.ok()) {
-            utils::logEvent(utils::events::storeUnavailable, { { "step", "load jobs" }, { "error", utils::describe(listing.status()) } });
+        if (!page.ok()) {
+            utils::logEvent(utils::events::storeUnavailable, { { "step", "load jobs" }, { "error", utils::describe(page.status()) } });
             m_reloadTimer.startOnce(reloadDelay);
             return;
         }
-        restoreJobs(*listing);
-        loadLearnedRecord();
+        if (m_storedJobs.readPage(*page))
+            loadJobs();
+        else
+            loadLearnedRecord();
     });
 }
 
-void leader_term::restoreJobs(const external::key_listing& listing)
-{
-    struct stored_job {
-        std::optional<jobs::job_spec> spec;
-        jobs::job_progress progress;
-        bool isCancelled = false;
-    };
-    std::map<std::string, stored_job> stored;
-    for (const auto& entry : listing.entries) {
-        const absl::string_view rest = absl::StripPrefix(entry.key, store_keys::jobsPrefix);
-        const auto slash = rest.find('/');
-        if (slash == absl::string_view::npos)
-            continue;
-        const std::string id(rest.substr(0, slash));
-        auto& job = stored[id];
-        if (entry.key == store_keys::cancellation(id)) {
-            job.isCancelled = true;
-            continue;
-        }
-        absl::Status status;
-        if (entry.key == store_keys::job(id)) {
-            auto spec = jobs::parseJob(entry.value);
-            status = spec.status();
-            if (spec.ok())
-                job.spec = *std::move(spec);
-        } else if (entry.key == store_keys::progress(id)) {
-            m_progressVersions[id] = entry.version;
-            auto progress = jobs::parseProgress(entry.value);
-            status = progress.status();
-            if (progress.ok())
-                job.progress = *std::move(progress);
-        }
-        if (!status.ok())
-            utils::logEvent(utils::events::storedValueUnreadable, { { "key", entry.key }, { "error", utils::describe(status) } });
-    }
-    const auto now = utils::nowIncludingSuspend();
-    for (const auto& [id, job] : stored) {
-        if (job.spec)
-            m_engine.restore(*job.spec, job.progress, job.isCancelled, now);
-    }
-}
-
 // The learned values only save time, so the term starts without them if they can't be read.
 void leader_term::loadLearnedRecord()
 {
--- a/tests/auto/tasks/memory_store.h
+++ b/tests/auto/tasks/memory_store.h
@@ -112,7 +112,7 @@
         postReply([callback, result] { callback(result); });
     }
 
-    void list(const std::string& prefix, const std::string&, std::size_t, external::store_callback<external::key_listing> callback) override
+    void list(const std::string& prefix, const std::string& start, std::size_t limit, external::store_callback<external::key_listing> callback) override
     {
         requestedPrefixes.insert(prefix);
         if (isRefused(prefix)) {
@@ -124,7 +124,8 @@
         isHistoryLost = false;
         external::key_listing listing { m_revision, {} };
         for (const auto& [key, value] : content) {
-            if (key.starts_with(prefix))
+            const bool hasRoom = limit == 0 || listing.entries.size() < limit;
+            if (hasRoom && key.starts_with(prefix) && key >= start)
                 listing.entries.push_back(value);
         }
         postReply([callback, listing] { callback(listing); });
