Coordinator: Refuse jobs by the memory that all jobs take

Cause: nothing limited what is kept of accepted jobs, of submissions that wait for a reply or for a new leader, and of jobs that daemons store without a leader.

Change: the leader refuses jobs beyond a quarter of the memory of the smallest daemon, since each may lead next, with 503 and the reason job_memory. Submissions whose write isn't settled count too. It tells each daemon how much that one may store without a leader. A daemon handles submissions whose specifications fit into a 256th of its memory at a time. Before a refusal the store is asked, and no job is refused that is stored there, is on its way, or whose write got no answer; a submission whose earlier attempt had no answer is no longer refused when the store is away. Ended jobs are erased at 100 per second, more than the largest deployments accept; 32 were fewer.

--- a/src/tasks/coordinator/admission_gate.cpp
+++ b/src/tasks/coordinator/admission_gate.cpp
@@ -51,6 +51,19 @@
     m_attempts.emplace_back(now, id);
 }
 
+void admission_gate::refuseIfAbsent(const job_call& call, const std::string& reason, utils::milliseconds retryAfter, utils::time_point now, refuse_callback refuse)
+{
+    // The job isn't kept while the store is asked.
+    m_store.read(store_keys::job(call.job.id), [this, alive = std::weak_ptr(m_alive), ticket = call.ticket, id = call.job.id, reason, retryAfter, now, refuse = std::move(refuse)](const absl::StatusOr<external::key_value>& stored) {
+        if (alive.expired())
+            return;
+        const bool isAbsent = stored.status().code() == absl::StatusCode::kNotFound && !hasBeenTried(id, now);
+        const auto outcome = isAbsent ? call_outcome::Refused : call_outcome::Indeterminate;
+        utils::logEvent(utils::events::jobSettled, { { "job", id }, { "outcome", std::string(toString(outcome)) }, { "reason", reason }, { "retry_after_ms", std::to_string(retryAfter.count()) } });
+        refuse({ ticket, outcome, jobs::job_phase::Queued, 0, retryAfter, reason });
+    });
+}
+
 void admission_gate::decide(const job_call& call, const jobs::deployment_rules* rules, bool hasLeader, utils::time_point now, std::function<void()> proceed, refuse_callback refuse)
 {
     if (call.kind != call_kind::Submit) {
--- a/src/tasks/coordinator/admission_gate.h
+++ b/src/tasks/coordinator/admission_gate.h
@@ -28,12 +28,16 @@
     //! \brief Calls \a proceed or \a refuse once, now or later. Passing the call on is recorded.
     void decide(const job_call& call, const jobs::deployment_rules* rules, bool hasLeader, utils::time_point now, std::function<void()> proceed, refuse_callback refuse);
 
+    //! \brief Calls \a refuse once: with a refusal for \a reason if the job is neither stored nor on its way there, else with an unknown outcome.
+    void refuseIfAbsent(const job_call& call, const std::string& reason, utils::milliseconds retryAfter, utils::time_point now, refuse_callback refuse);
+
     //! \brief Whether this daemon has passed the job on in the last minute.
     bool hasBeenTried(const std::string& id, utils::time_point now);
 
-private:
+    //! \brief Records that this daemon passes the job on, in another way than by decide().
     void noteAttempt(const std::string& id, utils::time_point now);
 
+private:
     external::key_value_store& m_store;
     std::optional<jobs::published_forecast> m_forecast;
     //! Jobs that were passed on, with the time of the last attempt, and the attempts in the order of their times.
--- a/src/tasks/coordinator/coordinator_messages.h
+++ b/src/tasks/coordinator/coordinator_messages.h
@@ -42,6 +42,8 @@
 
 //! Reason of the refusal of a job that was cancelled before it was stored.
 inline const std::string cancelledReason = "cancelled";
+//! Reason of the refusal of a job that the memory for jobs doesn't hold.
+inline const std::string jobMemoryReason = "job_memory";
 
 //! \brief A caller's request about jobs, which the HTTP front end passes to the coordinator.
 struct job_call {
--- a/src/tasks/coordinator/coordinator_task.cpp
+++ b/src/tasks/coordinator/coordinator_task.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "jobs/job_memory.h"
 #include "tasks/coordinator/call_codec.h"
 #include "tasks/coordinator/guarded_run_control.h"
 #include "tasks/coordinator/rules_codec.h"
@@ -19,6 +20,10 @@
     constexpr utils::milliseconds helloInterval { 500 };
     constexpr utils::milliseconds leaderNoticeInterval { 200 };
     constexpr utils::milliseconds cutOffRetryAfter { 1500 };
+    // Submissions are answered in a fraction of this time.
+    constexpr utils::milliseconds openSubmissionsRetryAfter { 1000 };
+    // A submission is answered before its caller's timeout, but for the delay of timers.
+    constexpr utils::milliseconds answerMargin { 10'000 };
 
 } // namespace
 
@@ -31,8 +36,10 @@
     , m_peerTraffic(context.metrics)
     , m_evacuationReport(context.metrics)
     , m_backfillMetrics(context.metrics)
+    , m_jobMemoryGauge(context.metrics.addGauge("camphorsaddle_job_memory_bytes"))
     , m_leadTransfer(m_settings.leadTransfer, m_settings.processors)
     , m_tickTimer(loop(), [this] { onTick(); })
+    , m_openSubmissions(m_settings.jobMemory.openSubmissions)
 {
 }
 
@@ -62,7 +69,7 @@
         loop(), *m_store, m_settings.leaderElection, jobs::leader_record { m_settings.daemonId, incarnation, m_settings.peerEndpoint, 0 }, [this] { onLeadershipChanged(); }, random);
     m_rulesFollower = std::make_unique<rules_follower>(
         loop(), *m_store, m_deployment, [this](const auto& rules) { onRulesChanged(rules); }, send, random);
-    m_leaderlessCalls = std::make_unique<leaderless_call_handler>(loop(), *m_store, m_settings.earlyCancellations);
+    m_leaderlessCalls = std::make_unique<leaderless_call_handler>(loop(), *m_store, m_settings.earlyCancellations, m_settings.jobMemory.jobsWithoutLeader);
     m_admissionGate = std::make_unique<admission_gate>(*m_store);
     m_context.coordinator.open(loop(), [this](const coordinator_message& message) { onMessage(message); });
     m_rulesFollower->start();
@@ -148,11 +155,15 @@
 
 void coordinator_task::handleCall(const job_call& call)
 {
+    const auto now = utils::nowIncludingSuspend();
+    if (refuseForMemory(call, now))
+        return;
     if (m_term != nullptr) {
+        if (call.kind == call_kind::Submit)
+            m_admissionGate->noteAttempt(call.job.id, now);
         passOn(call);
         return;
     }
-    const auto now = utils::nowIncludingSuspend();
     if (refuseWhileCutOff(call, now))
         return;
     m_admissionGate->decide(
@@ -176,6 +187,14 @@
     return true;
 }
 
+bool coordinator_task::refuseForMemory(const job_call& call, utils::time_point now)
+{
+    if (call.kind != call_kind::Submit || m_openSubmissions.open(call.ticket, jobs::specificationMemory(call.job), now, now + call.timeout + answerMargin))
+        return false;
+    m_admissionGate->refuseIfAbsent(call, "too_many_open_submissions", openSubmissionsRetryAfter, now, [this](const job_reply& reply) { postReply(reply); });
+    return true;
+}
+
 void coordinator_task::passOn(const job_call& call)
 {
     if (m_term != nullptr) {
@@ -206,6 +225,7 @@
 
 void coordinator_task::postReply(const job_reply& reply)
 {
+    m_openSubmissions.close(reply.ticket);
     m_context.front.post(reply);
 }
 
@@ -269,6 +289,8 @@
             m_rulesFollower->applyUpdate(envelope.rules());
             if (envelope.rules().hello_us() != 0)
                 m_admissionGate->setForecast(readForecast(envelope.rules()));
+            if (envelope.rules().has_job_memory_without_leader())
+                m_leaderlessCalls->setJobMemory(envelope.rules().job_memory_without_leader());
         }
         return;
     case protocol::CoordinatorEnvelope::CONTENT_NOT_SET:
@@ -283,7 +305,8 @@
         return;
     m_leadTransfer.noteFollower({ hello.endpoint(), hello.weight(), hello.reaches_store(), utils::milliseconds(hello.timer_delay_ms()) }, now);
     m_relayedControl->updateRelay({ hello.endpoint(), hello.data_centre(), hello.weight(), hello.adds_fence_raise() }, now, hello.sent_us());
-    m_rulesFollower->replyToHello(hello, now, m_term->publishedForecast());
+    m_term->noteJobMemoryLimit(hello.endpoint(), hello.job_memory(), now);
+    m_rulesFollower->replyToHello(hello, now, m_term->publishedAdmission(now));
 }
 
 void coordinator_task::onPeerCall(const protocol::CoordinatorCall& message)
@@ -364,6 +387,7 @@
     envelope.mutable_hello()->set_reaches_store(m_election->isStoreReachable());
     envelope.mutable_hello()->set_timer_delay_ms(m_leadTransfer.timerDelay().count());
     envelope.mutable_hello()->set_adds_fence_raise(true);
+    envelope.mutable_hello()->set_job_memory(m_settings.jobMemory.jobs);
     m_rulesFollower->fillHello(*envelope.mutable_hello(), now);
     send(m_election->leader()->endpoint, envelope);
 }
@@ -395,6 +419,7 @@
     m_peerTraffic.recordTick(now);
     m_evacuationReport.update(m_term == nullptr ? std::vector<jobs::evacuation_status>() : m_term->evacuationStatuses(now), now);
     m_backfillMetrics.update(m_term == nullptr ? jobs::backfill_summary {} : m_term->backfillSummary());
+    m_jobMemoryGauge.set(m_term == nullptr ? 0 : static_cast<std::int64_t>(m_term->heldMemory()));
     reviewLead(now);
     sendHello(now);
     sendLeaderNotices(now);
--- a/src/tasks/coordinator/coordinator_task.h
+++ b/src/tasks/coordinator/coordinator_task.h
@@ -16,6 +16,7 @@
 #include "tasks/coordinator/lead_transfer.h"
 #include "tasks/coordinator/leader_term.h"
 #include "tasks/coordinator/leaderless_call_handler.h"
+#include "tasks/coordinator/open_submissions.h"
 #include "tasks/coordinator/peer_traffic_report.h"
 #include "tasks/coordinator/relayed_run_control.h"
 #include "tasks/coordinator/rules_follower.h"
@@ -49,6 +50,8 @@
     bool isCutOff(utils::time_point now) const;
     //! \brief Refuses a call that this daemon can do nothing for; returns false if it may have had an effect before.
     bool refuseWhileCutOff(const job_call& call, utils::time_point now);
+    //! \brief Refuses a submission if there is no memory to handle it; returns false if there is.
+    bool refuseForMemory(const job_call& call, utils::time_point now);
     void forwardToLeader(const job_call& call);
     //! \brief Handles the call with the store alone; \a mayBeStored: the leader may have stored it or may still do so.
     void handleWithoutLeader(job_call call, bool mayBeStored);
@@ -76,6 +79,8 @@
     peer_traffic_report m_peerTraffic;
     evacuation_report m_evacuationReport;
     backfill_metrics m_backfillMetrics;
+    //! Memory of all jobs, on the leader.
+    utils::gauge& m_jobMemoryGauge;
     std::unique_ptr<relayed_run_control> m_relayedControl;
     std::unique_ptr<order_relay> m_orderRelay;
     std::unique_ptr<leader_election> m_election;
@@ -89,6 +94,7 @@
     bool m_isHandingOver = false;
     transport::timer m_tickTimer;
     forwarded_calls m_forwardedCalls;
+    open_submissions m_openSubmissions;
     utils::time_point m_lastHelloSentAt;
     //! Term of the leader that the last hello was sent to.
     std::uint64_t m_lastHelloTerm = 0;
--- a/src/tasks/coordinator/job_daemon_settings.h
+++ b/src/tasks/coordinator/job_daemon_settings.h
@@ -9,6 +9,7 @@
 #include "jobs/engine_settings.h"
 #include "jobs/route_admission.h"
 #include "tasks/coordinator/early_cancellation_settings.h"
+#include "tasks/coordinator/job_memory_limits.h"
 #include "tasks/coordinator/lead_transfer.h"
 #include "tasks/coordinator/leader_election.h"
 #include "transport/http_client.h"
@@ -45,6 +46,7 @@
     leader_election_settings leaderElection;
     lead_transfer_settings leadTransfer;
     early_cancellation_settings earlyCancellations;
+    job_memory_limits jobMemory = deriveJobMemoryLimits(transport::readHostResources());
 };
 
 //! \brief Data formats of a deployment and factories for the clients of its store and workers.
--- a/src/tasks/coordinator/leader_term.cpp
+++ b/src/tasks/coordinator/leader_term.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/strip.h"
+#include "jobs/job_memory.h"
 #include "utils/errors.h"
 #include "utils/events.h"
 #include "utils/overloaded.h"
@@ -24,7 +25,8 @@
     constexpr utils::milliseconds learnedWriteInterval { 2000 };
     // Without the stored roster the next leader only waits longer.
     constexpr utils::milliseconds handOverTimeout { 400 };
-    constexpr std::size_t maximumErasedJobs = 32;
+    // More than the users' largest deployments accept in a second, so that ended jobs don't accumulate.
+    constexpr std::size_t maximumErasedJobs = 100;
     // Writes of the leader itself are retried until it is deposed; writes for a caller end with the caller's timeout.
     constexpr utils::milliseconds leaderWriteTimeout { 600'000 };
     constexpr utils::milliseconds storeOutageRetryAfter { 1500 };
@@ -54,6 +56,8 @@
     , m_refreshTimer(loop, [this] { refreshWatches(); writeRoster(); })
     , m_startedAt(utils::nowIncludingSuspend())
     , m_learnedWriteTimer(loop, [this] { writeLearnedRecord(); })
+    , m_pendingMemoryLimit(settings.jobMemory.waitingForLoad)
+    , m_jobMemory(settings.jobMemory.jobs)
     , m_storedJobs([this](const stored_job& job) { m_engine.restore(job.spec, job.progress, job.isCancelled, utils::nowIncludingSuspend()); }, [this](const auto& id, auto version) { m_progressVersions[id] = version; })
     , m_formerLeaders(election.formerLeaders(), election.ownRecord())
     , m_earlyCancellationSweep(settings.earlyCancellations)
@@ -240,6 +244,12 @@
 void leader_term::handleCall(const job_call& call, reply_callback reply)
 {
     if (!m_isLoaded) {
+        const auto bytes = jobs::specificationMemory(call.job);
+        if (m_pendingMemory + bytes > m_pendingMemoryLimit) {
+            reply({ call.ticket, call_outcome::NotLeader, jobs::job_phase::Queued, 0, utils::milliseconds(0), {} });
+            return;
+        }
+        m_pendingMemory += bytes;
         m_pendingCalls.emplace_back(call, std::move(reply));
         return;
     }
@@ -291,7 +301,7 @@
         respond(call_outcome::Refused, noProcessorsRetryAfter, "no_processors");
         return;
     }
-    if (refuseByForecast(call, reply, now))
+    if (refuseSubmission(call, reply, now))
         return;
     storeSubmission(call, reply, now);
 }
@@ -303,6 +313,9 @@
     replies.push_back([reply, ticket = call.ticket](const job_reply& result) { reply({ ticket, result.outcome, jobs::job_phase::Queued, 0, result.retryAfter, result.reason }); });
     if (replies.size() > 1)
         return;
+    const auto [entry, isNew] = m_unsettledSubmissions.try_emplace(id, unsettled_submission { jobs::jobMemory(call.job), false });
+    if (isNew)
+        m_unsettledMemory += entry->second.memory;
     m_writer.enqueue({ store_keys::job(id), jobs::encodeJob(call.job), 0, now + call.timeout, true, [this, job = call.job](write_outcome outcome, external::revision, const external::key_value*) {
                           completeSubmission(job, outcome);
                       },
@@ -320,12 +333,14 @@
         addJob(job, now);
         break;
     case write_outcome::Conflict:
+        settleSubmission(job.id);
         // Without an inbox entry, which the calling daemon writes, a job that an unanswered write has stored isn't adopted.
         result.reason = "known";
         result.outcome = m_engine.hasJob(job.id) ? call_outcome::Done : call_outcome::Indeterminate;
         break;
     case write_outcome::Excluded:
         // Also true if an earlier attempt got no answer: it can't take effect while the early cancellation is stored.
+        settleSubmission(job.id);
         result.outcome = call_outcome::Refused;
         result.reason = cancelledReason;
         break;
@@ -333,17 +348,22 @@
         result.outcome = call_outcome::NotLeader;
         break;
     case write_outcome::NotWritten:
-        result.outcome = call_outcome::Refused;
+        // An earlier attempt without an answer may still take effect.
+        result.outcome = mayBeStored(job.id) ? call_outcome::Indeterminate : call_outcome::Refused;
         result.retryAfter = storeOutageRetryAfter;
         result.reason = "store_unavailable";
+        if (result.outcome == call_outcome::Refused)
+            settleSubmission(job.id);
         break;
     case write_outcome::Indeterminate:
         result.outcome = call_outcome::Indeterminate;
         result.reason = "store_silent";
-        m_unsettledSubmissions.insert(job.id);
+        // A job that was adopted meanwhile is known.
+        if (const auto unsettled = m_unsettledSubmissions.find(job.id); unsettled != m_unsettledSubmissions.end())
+            unsettled->second.mayBeStored = true;
         break;
     }
-    utils::logEvent(utils::events::jobSettled, { { "job", job.id }, { "queue", job.queue }, { "outcome", std::string(toString(result.outcome)) }, { "reason", result.reason }, { "unfinished", std::to_string(m_engine.unfinishedJobCount()) } });
+    utils::logEvent(utils::events::jobSettled, { { "job", job.id }, { "queue", job.queue }, { "outcome", std::string(toString(result.outcome)) }, { "reason", result.reason }, { "unfinished", std::to_string(m_engine.unfinishedJobCount()) }, { "held_bytes", std::to_string(heldMemory()) } });
     const auto callbacks = std::move(m_submissionReplies[job.id]);
     m_submissionReplies.erase(job.id);
     for (const auto& reply : callbacks)
@@ -353,6 +373,15 @@
         m_onDeposed("the leader key has changed");
 }
 
+void leader_term::settleSubmission(const std::string& id)
+{
+    const auto found = m_unsettledSubmissions.find(id);
+    if (found == m_unsettledSubmissions.end())
+        return;
+    m_unsettledMemory -= found->second.memory;
+    m_unsettledSubmissions.erase(found);
+}
+
 void leader_term::cancelJob(const job_call& call, const reply_callback& reply)
 {
     const auto respond = [reply, ticket = call.ticket](call_outcome outcome) {
@@ -545,6 +574,7 @@
 void leader_term::eraseFinishedJobs()
 {
     const auto deadline = utils::nowIncludingSuspend() + leaderWriteTimeout;
+    m_engine.releaseEndedJobs(utils::nowIncludingSuspend());
     for (const auto& id : m_engine.forgetFinishedJobs(utils::nowIncludingSuspend(), maximumErasedJobs)) {
         m_store.list(store_keys::jobPrefix(id), "", 0, [this, self = weak_from_this(), deadline, id](absl::StatusOr<external::key_listing> listing) {
             const auto guard = self.lock();
--- a/src/tasks/coordinator/leader_term.h
+++ b/src/tasks/coordinator/leader_term.h
@@ -15,10 +15,12 @@
 #include "tasks/coordinator/inbox_tracker.h"
 #include "tasks/coordinator/job_daemon_settings.h"
 #include "tasks/coordinator/job_event_log.h"
+#include "tasks/coordinator/job_memory_budget.h"
 #include "tasks/coordinator/leader_election.h"
 #include "tasks/coordinator/leader_writer.h"
 #include "tasks/coordinator/prefix_watch.h"
 #include "tasks/coordinator/relayed_run_control.h"
+#include "tasks/coordinator/rules_codec.h"
 #include "tasks/coordinator/stored_jobs.h"
 #include "tasks/coordinator/worker_directory.h"
 
@@ -26,6 +28,16 @@
 
 using reply_callback = std::function<void(const job_reply&)>;
 
+//! \brief Refusal of a new job by the leader.
+struct submission_refusal {
+    std::string reason;
+    utils::milliseconds retryAfter { 0 };
+    //! Figures for the log.
+    std::string details;
+    //! The refusal follows from the forecast.
+    bool isForecast = false;
+};
+
 //! \brief One term of this daemon as leader: loads the jobs, executes the decisions of the job engine and handles calls.
 //!
 //! Owned by a shared pointer, so that callbacks which run after the end of the term can detect it.
@@ -49,14 +61,18 @@
     //! \brief Counts the outcomes of the jobs there from now on.
     void setMetrics(utils::metric_registry& metrics);
     void setRules(std::shared_ptr<const jobs::deployment_rules> rules);
+    //! \brief Records how much memory all jobs may take if the daemon at \a endpoint leads; 0 if it doesn't tell.
+    void noteJobMemoryLimit(const std::string& endpoint, std::uint64_t limit, utils::time_point now);
     //! \brief Records that the daemon at \a endpoint leads no term before \a term.
     void noteFollower(const std::string& endpoint, std::uint64_t term);
     //! \brief The leaders before this term that are not known to have ended.
     const std::vector<jobs::leader_record>& unprovenLeaders() const;
     //! \brief Calls \a reply once, now or later.
     void handleCall(const job_call& call, reply_callback reply);
-    //! \brief Forecast for the other daemons; nullopt as long as there is none.
-    const std::optional<jobs::published_forecast>& publishedForecast() const;
+    //! \brief What the other daemons need for the admission of jobs.
+    admission_update publishedAdmission(utils::time_point now) const;
+    //! \brief Bytes of the jobs of this term, also of those whose write isn't settled.
+    std::uint64_t heldMemory() const;
     //! \brief Whether the stored jobs are loaded.
     bool isLoaded() const;
     //! \brief The evacuations that this leader knows.
@@ -65,6 +81,13 @@
     jobs::backfill_summary backfillSummary() const;
 
 private:
+    //! A job whose write is under way, or got no answer.
+    struct unsettled_submission {
+        std::uint64_t memory = 0;
+        //! A write of it got no answer and may still take effect, so that it isn't refused.
+        bool mayBeStored = false;
+    };
+
     void loadJobs();
     void loadLearnedRecord();
     void loadRoster();
@@ -82,10 +105,15 @@
     void submitJob(const job_call& call, const reply_callback& reply);
     void recordOutcomes();
     void storeSubmission(const job_call& call, const reply_callback& reply, utils::time_point now);
-    //! \brief Refuses the job if the forecast says so and the store doesn't have it; returns false if it is to be accepted.
-    bool refuseByForecast(const job_call& call, const reply_callback& reply, utils::time_point now);
-    void completeRefusal(const job_call& call, const reply_callback& reply, const jobs::forecast_refusal& refusal, const absl::StatusOr<external::key_value>& stored, utils::time_point calledAt);
+    //! \brief Why a new job can't be accepted now; nullopt if it can.
+    std::optional<submission_refusal> findRefusal(const jobs::job_spec& job, utils::time_point now) const;
+    //! \brief Refuses the job if there is a reason and the store doesn't have it; returns false if it is to be accepted.
+    bool refuseSubmission(const job_call& call, const reply_callback& reply, utils::time_point now);
+    void completeRefusal(const job_call& call, const reply_callback& reply, const submission_refusal& refusal, const absl::StatusOr<external::key_value>& stored, utils::time_point calledAt);
+    //! \brief Whether a write of the job got no answer and may still take effect.
+    bool mayBeStored(const std::string& id) const;
     void completeSubmission(const jobs::job_spec& job, write_outcome outcome);
+    void settleSubmission(const std::string& id);
     void cancelJob(const job_call& call, const reply_callback& reply);
     //! \brief Asks the store for changes of the workers and of the inbox that the long polls haven't reported.
     void refreshWatches();
@@ -129,8 +157,13 @@
     std::vector<std::pair<job_call, reply_callback>> m_pendingCalls;
     //! Reply callbacks by job id for submissions that are being written to the store.
     std::map<std::string, std::vector<reply_callback>> m_submissionReplies;
-    //! Jobs whose write got no answer and may still take effect, so that they aren't refused.
-    std::set<std::string> m_unsettledSubmissions;
+    std::map<std::string, unsettled_submission> m_unsettledSubmissions;
+    //! Bytes of all of them.
+    std::uint64_t m_unsettledMemory = 0;
+    //! Bytes of the submissions that wait until the stored jobs are loaded, and their limit.
+    std::uint64_t m_pendingMemory = 0;
+    std::uint64_t m_pendingMemoryLimit;
+    job_memory_budget m_jobMemory;
     //! Version of the stored progress by job id.
     std::map<std::string, external::revision> m_progressVersions;
     stored_jobs m_storedJobs;
--- a/src/tasks/coordinator/leader_term_admission.cpp
+++ b/src/tasks/coordinator/leader_term_admission.cpp
@@ -1,5 +1,6 @@
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
+#include "jobs/job_memory.h"
 #include "tasks/coordinator/leader_term.h"
 #include "utils/events.h"
 
@@ -8,12 +9,16 @@
 namespace {
 
     const std::string overloadReason = "overload";
+    // Memory becomes free when jobs end, seconds after that.
+    constexpr utils::milliseconds jobMemoryRetryAfter { 5000 };
 
 } // namespace
 
-const std::optional<jobs::published_forecast>& leader_term::publishedForecast() const
+admission_update leader_term::publishedAdmission(utils::time_point now) const
 {
-    return m_engine.publishedForecast();
+    if (!m_isLoaded)
+        return {};
+    return { m_engine.publishedForecast(), m_jobMemory.allowanceWithoutLeader(heldMemory(), now) };
 }
 
 void leader_term::setMetrics(utils::metric_registry& metrics)
@@ -37,13 +42,39 @@
     }
 }
 
+bool leader_term::mayBeStored(const std::string& id) const
+{
+    const auto found = m_unsettledSubmissions.find(id);
+    return found != m_unsettledSubmissions.end() && found->second.mayBeStored;
+}
+
+std::uint64_t leader_term::heldMemory() const
+{
+    return m_engine.heldMemory() + m_unsettledMemory;
+}
+
+void leader_term::noteJobMemoryLimit(const std::string& endpoint, std::uint64_t limit, utils::time_point now)
+{
+    m_jobMemory.noteFollower(endpoint, limit, now);
+}
+
+std::optional<submission_refusal> leader_term::findRefusal(const jobs::job_spec& job, utils::time_point now) const
+{
+    const auto bytes = jobs::jobMemory(job);
+    if (!m_jobMemory.admits(bytes, heldMemory(), now))
+        return submission_refusal { jobMemoryReason, jobMemoryRetryAfter, absl::StrCat("bytes=", bytes, " held=", heldMemory(), " limit=", m_jobMemory.limit(now)), false };
+    if (const auto refusal = m_engine.forecastRefusal(job, now))
+        return submission_refusal { overloadReason, refusal->retryAfter, absl::StrCat("wait_ms=", refusal->wait.count(), " cores=", refusal->cores, " slack_ms=", refusal->slack.count()), true };
+    return std::nullopt;
+}
+
 // A refused job must never run. No write for it is sent by this call, and none by an earlier one of this leader is pending. A former
 // leader can't write any more, but a daemon without a leader may have stored the job, which the read shows.
-bool leader_term::refuseByForecast(const job_call& call, const reply_callback& reply, utils::time_point now)
+bool leader_term::refuseSubmission(const job_call& call, const reply_callback& reply, utils::time_point now)
 {
-    if (call.mayBeStored || m_unsettledSubmissions.contains(call.job.id))
+    if (call.mayBeStored || mayBeStored(call.job.id))
         return false;
-    const auto refusal = m_engine.forecastRefusal(call.job, now);
+    const auto refusal = findRefusal(call.job, now);
     if (!refusal)
         return false;
     m_store.read(store_keys::job(call.job.id), [this, self = weak_from_this(), call, reply, refusal = *refusal, now](const absl::StatusOr<external::key_value>& stored) {
@@ -56,7 +87,7 @@
     return true;
 }
 
-void leader_term::completeRefusal(const job_call& call, const reply_callback& reply, const jobs::forecast_refusal& refusal, const absl::StatusOr<external::key_value>& stored, utils::time_point calledAt)
+void leader_term::completeRefusal(const job_call& call, const reply_callback& reply, const submission_refusal& refusal, const absl::StatusOr<external::key_value>& stored, utils::time_point calledAt)
 {
     const auto& id = call.job.id;
     const auto respond = [&](call_outcome outcome, utils::milliseconds retryAfter, const std::string& reason) {
@@ -72,13 +103,18 @@
         return;
     }
     const bool isAbsent = stored.status().code() == absl::StatusCode::kNotFound;
-    if (!isAbsent || m_submissionReplies.contains(id) || m_unsettledSubmissions.contains(id)) {
+    if (!isAbsent && !refusal.isForecast) {
+        respond(call_outcome::Indeterminate, utils::milliseconds(0), refusal.reason);
+        return;
+    }
+    if (!isAbsent || m_submissionReplies.contains(id) || mayBeStored(id)) {
         storeSubmission(call, reply, calledAt);
         return;
     }
-    utils::logEvent(utils::events::jobSettled, { { "job", id }, { "queue", call.job.queue }, { "outcome", std::string(toString(call_outcome::Refused)) }, { "reason", overloadReason }, { "wait_ms", std::to_string(refusal.wait.count()) }, { "cores", absl::StrCat(refusal.cores) }, { "slack_ms", std::to_string(refusal.slack.count()) }, { "retry_after_ms", std::to_string(refusal.retryAfter.count()) }, { "unfinished", std::to_string(m_engine.unfinishedJobCount()) } });
-    m_engine.noteRefusal(call.job);
-    respond(call_outcome::Refused, refusal.retryAfter, overloadReason);
+    utils::logEvent(utils::events::jobSettled, { { "job", id }, { "queue", call.job.queue }, { "outcome", std::string(toString(call_outcome::Refused)) }, { "reason", refusal.reason }, { "details", refusal.details }, { "retry_after_ms", std::to_string(refusal.retryAfter.count()) }, { "unfinished", std::to_string(m_engine.unfinishedJobCount()) } });
+    if (refusal.isForecast)
+        m_engine.noteRefusal(call.job);
+    respond(call_outcome::Refused, refusal.retryAfter, refusal.reason);
 }
 
 } // namespace camphorsaddle::tasks
--- a/src/tasks/coordinator/leader_term_load.cpp
+++ b/src/tasks/coordinator/leader_term_load.cpp
@@ -79,6 +79,7 @@
 void leader_term::addJob(const jobs::job_spec& job, utils::time_point now)
 {
     m_engine.add(job, now);
+    settleSubmission(job.id);
     if (m_inboxTracker.isCancelled(job.id))
         m_engine.cancel(job.id, now);
 }
--- a/src/tasks/coordinator/leaderless_call_handler.cpp
+++ b/src/tasks/coordinator/leaderless_call_handler.cpp
@@ -1,7 +1,9 @@
 #include "tasks/coordinator/leaderless_call_handler.h"
 
 #include <algorithm>
+#include <utility>
 
+#include "jobs/job_memory.h"
 #include "jobs/job_record.h"
 #include "tasks/coordinator/leader_election.h"
 #include "utils/errors.h"
@@ -17,6 +19,8 @@
     constexpr utils::milliseconds storeOutageRetryAfter { 1500 };
     // The budget for further early cancellations grows by a few in this time.
     constexpr utils::milliseconds cancellationLimitRetryAfter { 2000 };
+    // The next leader is elected and knows the stored jobs after this time.
+    constexpr utils::milliseconds jobMemoryRetryAfter { 5000 };
 
     jobs::job_phase readPhase(const external::key_listing& listing, const std::string& id)
     {
@@ -42,6 +46,8 @@
     utils::time_point deadline;
     bool mayBeStored = false;
     external::revision recordVersion = 0;
+    //! Bytes of the job that were taken from the memory for jobs.
+    std::uint64_t takenMemory = 0;
     //! The budget for early cancellations covers the call.
     bool isBudgeted = false;
     std::unique_ptr<transport::timer> retryTimer;
@@ -57,16 +63,22 @@
     }
 };
 
-leaderless_call_handler::leaderless_call_handler(transport::event_loop& loop, external::transactional_store& store, const early_cancellation_settings& settings)
+leaderless_call_handler::leaderless_call_handler(transport::event_loop& loop, external::transactional_store& store, const early_cancellation_settings& settings, std::uint64_t jobMemory)
     : m_loop(loop)
     , m_store(store)
     , m_earlyCancellations(loop, store)
     , m_earlyCancellationBudget(settings.perSecond, settings.burst, utils::nowIncludingSuspend())
+    , m_jobMemory(jobMemory)
 {
 }
 
 leaderless_call_handler::~leaderless_call_handler() = default;
 
+void leaderless_call_handler::setJobMemory(std::uint64_t bytes)
+{
+    m_jobMemory = bytes;
+}
+
 void leaderless_call_handler::handle(const job_call& call, reply_callback reply)
 {
     auto attempt = std::make_shared<call_attempt>();
@@ -99,6 +111,8 @@
     attempt->mayBeStored = attempt->mayBeStored || !isKnownNotApplied;
     const bool isOutOfTime = utils::nowIncludingSuspend() + retryDelay >= attempt->deadline;
     if (!attempt->mayBeStored || isOutOfTime) {
+        if (!attempt->mayBeStored)
+            m_jobMemory += std::exchange(attempt->takenMemory, 0);
         utils::logEvent(utils::events::jobSettled, { { "job", attempt->call.subject }, { "outcome", attempt->mayBeStored ? "unsettled" : "refused" }, { "reason", "store_unavailable" }, { "error", utils::describe(status) } });
         attempt->respond(attempt->mayBeStored ? call_outcome::Indeterminate : call_outcome::Refused, jobs::job_phase::Queued, "store_unavailable");
         return;
@@ -113,6 +127,15 @@
 void leaderless_call_handler::submitJob(const std::shared_ptr<call_attempt>& attempt)
 {
     const auto& id = attempt->call.job.id;
+    if (attempt->takenMemory == 0) {
+        const auto bytes = jobs::jobMemory(attempt->call.job);
+        if (bytes > m_jobMemory) {
+            refuseForMemory(attempt);
+            return;
+        }
+        attempt->takenMemory = bytes;
+        m_jobMemory -= bytes;
+    }
     external::transaction change;
     change.expected = { { store_keys::job(id), 0 }, { store_keys::earlyCancellation(id), 0 } };
     change.puts = { { store_keys::job(id), jobs::encodeJob(attempt->call.job), 0 }, { store_keys::inboxPrefix + id, "submitted", 0 } };
@@ -126,10 +149,12 @@
         const auto isPresent = [&](const std::string& key) {
             return std::ranges::find(result->present, key, &external::key_value::key) != result->present.end();
         };
-        const auto& id = attempt->call.job.id;
-        if (!result->isCommitted && !isPresent(store_keys::job(id)) && isPresent(store_keys::earlyCancellation(id))) {
+        if (!result->isCommitted)
+            m_jobMemory += std::exchange(attempt->takenMemory, 0);
+        const auto& job = attempt->call.job.id;
+        if (!result->isCommitted && !isPresent(store_keys::job(job)) && isPresent(store_keys::earlyCancellation(job))) {
             // No attempt can take effect any more, whatever has become of the earlier ones.
-            utils::logEvent(utils::events::jobSettled, { { "job", id }, { "outcome", "refused" }, { "reason", cancelledReason } });
+            utils::logEvent(utils::events::jobSettled, { { "job", job }, { "outcome", "refused" }, { "reason", cancelledReason } });
             attempt->refuse(cancelledReason, utils::milliseconds(0));
             return;
         }
@@ -142,6 +167,27 @@
     });
 }
 
+void leaderless_call_handler::refuseForMemory(const std::shared_ptr<call_attempt>& attempt)
+{
+    m_store.read(store_keys::job(attempt->call.job.id), [this, attempt, alive = std::weak_ptr(m_alive)](const absl::StatusOr<external::key_value>& stored) {
+        if (alive.expired())
+            return;
+        if (stored.ok()) {
+            announceKnownJob(attempt);
+            return;
+        }
+        if (stored.status().code() != absl::StatusCode::kNotFound) {
+            retryOrFail(attempt, stored.status(), &leaderless_call_handler::refuseForMemory);
+            return;
+        }
+        utils::logEvent(utils::events::jobSettled, { { "job", attempt->call.subject }, { "outcome", attempt->mayBeStored ? "unsettled" : "refused" }, { "reason", jobMemoryReason }, { "bytes", std::to_string(jobs::jobMemory(attempt->call.job)) }, { "left", std::to_string(m_jobMemory) } });
+        if (attempt->mayBeStored)
+            attempt->respond(call_outcome::Indeterminate, jobs::job_phase::Queued, jobMemoryReason);
+        else
+            attempt->refuse(jobMemoryReason, jobMemoryRetryAfter);
+    });
+}
+
 // A write without an answer may have stored the job, so that the leader doesn't know it.
 void leaderless_call_handler::announceKnownJob(const std::shared_ptr<call_attempt>& attempt)
 {
--- a/src/tasks/coordinator/leaderless_call_handler.h
+++ b/src/tasks/coordinator/leaderless_call_handler.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 
 #include "external/transactional_store.h"
@@ -19,11 +21,14 @@
 public:
     using reply_callback = std::function<void(job_reply)>;
 
-    leaderless_call_handler(transport::event_loop& loop, external::transactional_store& store, const early_cancellation_settings& settings = {});
+    //! \a jobMemory: see setJobMemory(), as long as no leader has told.
+    leaderless_call_handler(transport::event_loop& loop, external::transactional_store& store, const early_cancellation_settings& settings = {}, std::uint64_t jobMemory = std::numeric_limits<std::uint64_t>::max());
     ~leaderless_call_handler();
     leaderless_call_handler(const leaderless_call_handler&) = delete;
     leaderless_call_handler& operator=(const leaderless_call_handler&) = delete;
 
+    //! \brief Sets how many bytes the jobs may take that are stored from now on; the leader counts those that were stored before.
+    void setJobMemory(std::uint64_t bytes);
     //! \brief Calls \a reply once, before the caller's timeout.
     void handle(const job_call& call, reply_callback reply);
 
@@ -31,6 +36,8 @@
     struct call_attempt;
 
     void submitJob(const std::shared_ptr<call_attempt>& attempt);
+    //! \brief Answers the submission of a job for which there is no memory.
+    void refuseForMemory(const std::shared_ptr<call_attempt>& attempt);
     //! \brief Has the leader adopt a job that the store has already.
     void announceKnownJob(const std::shared_ptr<call_attempt>& attempt);
     void readStatus(const std::shared_ptr<call_attempt>& attempt);
@@ -44,6 +51,7 @@
     external::transactional_store& m_store;
     early_cancellation_writer m_earlyCancellations;
     utils::token_bucket m_earlyCancellationBudget;
+    std::uint64_t m_jobMemory;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/src/tasks/coordinator/rules_codec.h
+++ b/src/tasks/coordinator/rules_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include "absl/status/status.h"
@@ -9,6 +10,13 @@
 
 namespace camphorsaddle::tasks {
 
+//! \brief What the leader tells the other daemons for the admission of jobs.
+struct admission_update {
+    std::optional<jobs::published_forecast> forecast;
+    //! Bytes of the jobs that the receiver may store while it reaches no leader; nullopt if the leader doesn't know the stored jobs yet.
+    std::optional<std::uint64_t> memoryWithoutLeader;
+};
+
 void writeRulesChange(const jobs::rules_change& change, protocol::RulesUpdate& target);
 //! \brief Returns an error if a number of the update is out of bounds; call it before readRulesChange().
 absl::Status checkRulesUpdate(const protocol::RulesUpdate& source);
--- a/src/tasks/coordinator/rules_follower.cpp
+++ b/src/tasks/coordinator/rules_follower.cpp
@@ -130,7 +130,7 @@
     m_onChanged(rules);
 }
 
-void rules_follower::replyToHello(const protocol::CarrierHello& hello, utils::time_point now, const std::optional<jobs::published_forecast>& forecast)
+void rules_follower::replyToHello(const protocol::CarrierHello& hello, utils::time_point now, const admission_update& admission)
 {
     if (!m_isLeader || m_history.rules() == nullptr)
         return;
@@ -142,10 +142,10 @@
     follower.revision = hello.rules_revision();
     if (isChanged && !m_history.changesSince(follower.revision))
         utils::logEvent(utils::events::followerRevisionUnknown, { { "peer", hello.endpoint() }, { "peer_revision", std::to_string(follower.revision) }, { "revision", std::to_string(m_history.revision()) } });
-    sendUpdate(hello.endpoint(), follower, hello.sent_us(), now, forecast);
+    sendUpdate(hello.endpoint(), follower, hello.sent_us(), now, admission);
 }
 
-void rules_follower::sendUpdate(const std::string& endpoint, known_follower& follower, std::int64_t helloMicroseconds, utils::time_point now, const std::optional<jobs::published_forecast>& forecast)
+void rules_follower::sendUpdate(const std::string& endpoint, known_follower& follower, std::int64_t helloMicroseconds, utils::time_point now, const admission_update& admission)
 {
     // A daemon whose revision is not in the history, too old or newer than the leader's, reads the store itself.
     const auto change = m_history.changesSince(follower.revision);
@@ -157,8 +157,10 @@
     update.set_store_revision(m_watch.revision());
     update.set_age_ms(std::chrono::duration_cast<utils::milliseconds>(now - m_watch.confirmedAt()).count());
     update.set_hello_us(helloMicroseconds);
-    if (forecast)
-        writeForecast(*forecast, now, update);
+    if (admission.forecast)
+        writeForecast(*admission.forecast, now, update);
+    if (admission.memoryWithoutLeader)
+        update.set_job_memory_without_leader(*admission.memoryWithoutLeader);
     m_send(endpoint, envelope);
     if (change->from != change->to)
         follower.changeArrivesUntil = now + transferTimeOf(envelope);
--- a/src/tasks/coordinator/rules_follower.h
+++ b/src/tasks/coordinator/rules_follower.h
@@ -13,6 +13,7 @@
 #include "protocol/jobs.pb.h"
 #include "tasks/coordinator/coordinator_messages.h"
 #include "tasks/coordinator/prefix_watch.h"
+#include "tasks/coordinator/rules_codec.h"
 
 namespace camphorsaddle::tasks {
 
@@ -43,8 +44,8 @@
     //! \brief The rules with the time and the source of their last confirmation.
     rules_state state() const;
 
-    //! \brief As leader: sends the changes that the daemon lacks, and the forecast if there is one.
-    void replyToHello(const protocol::CarrierHello& hello, utils::time_point now, const std::optional<jobs::published_forecast>& forecast = std::nullopt);
+    //! \brief As leader: sends the changes that the daemon lacks, and what it needs for the admission of jobs.
+    void replyToHello(const protocol::CarrierHello& hello, utils::time_point now, const admission_update& admission = {});
     //! \brief As follower: adds the revision of the rules and the sending time to a hello.
     void fillHello(protocol::CarrierHello& hello, utils::time_point now) const;
     //! \brief As follower: applies the changes that the leader sent.
@@ -65,7 +66,7 @@
 
     void onRulesKey(const std::string& key, const external::key_value* value);
     void publishRules();
-    void sendUpdate(const std::string& endpoint, known_follower& follower, std::int64_t helloMicroseconds, utils::time_point now, const std::optional<jobs::published_forecast>& forecast = std::nullopt);
+    void sendUpdate(const std::string& endpoint, known_follower& follower, std::int64_t helloMicroseconds, utils::time_point now, const admission_update& admission = {});
 
     const jobs::deployment_format& m_format;
     change_callback m_onChanged;
--- a/tests/auto/tasks/leading_daemon.h
+++ b/tests/auto/tasks/leading_daemon.h
@@ -69,9 +69,10 @@
 //! A daemon that leads with a store in memory.
 class leading_daemon : public testing::Test {
 protected:
-    explicit leading_daemon(const std::vector<jobs::leader_record>& history = {}, const std::string& roster = {}, const early_cancellation_settings& earlyCancellations = {})
+    explicit leading_daemon(const std::vector<jobs::leader_record>& history = {}, const std::string& roster = {}, const early_cancellation_settings& earlyCancellations = {}, std::optional<std::uint64_t> jobMemory = {})
     {
         m_settings.earlyCancellations = earlyCancellations;
+        m_settings.jobMemory.jobs = jobMemory.value_or(m_settings.jobMemory.jobs);
         if (!roster.empty())
             m_store.put(store_keys::roster, roster);
         if (!history.empty()) {
--- a/tests/auto/tasks/tst_admission_gate.cpp
+++ b/tests/auto/tasks/tst_admission_gate.cpp
@@ -104,6 +104,42 @@
     EXPECT_TRUE(decide(makeSubmission(), utils::milliseconds(61'000), false));
 }
 
+namespace {
+
+struct refusal_without_room_case {
+    const char* name;
+    bool isStored;
+    bool isPassedOn;
+    call_outcome outcome;
+};
+
+class refusal_without_room : public gate_with_backlog, public testing::WithParamInterface<refusal_without_room_case> {
+};
+
+} // namespace
+
+INSTANTIATE_TEST_SUITE_P(Jobs, refusal_without_room,
+    testing::Values(refusal_without_room_case { "new", false, false, call_outcome::Refused },
+        refusal_without_room_case { "stored", true, false, call_outcome::Indeterminate },
+        refusal_without_room_case { "passedOn", false, true, call_outcome::Indeterminate }),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against a refusal of a job that an earlier attempt has stored or may still store.
+TEST_P(refusal_without_room, IsTrue)
+{
+    if (GetParam().isStored)
+        m_store.put(store_keys::job("job"), "record");
+    if (GetParam().isPassedOn)
+        m_gate.noteAttempt("job", helloAt);
+    std::optional<job_reply> reply;
+    m_gate.refuseIfAbsent(makeSubmission(), "no_room", utils::milliseconds(1000), helloAt, [&](const job_reply& received) { reply = received; });
+    runLoop(m_loop, shortRunTime);
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->outcome, GetParam().outcome);
+    EXPECT_EQ(reply->reason, "no_room");
+    EXPECT_EQ(m_store.transactions, 0U);
+}
+
 TEST_F(gate_with_backlog, LooksAtNewJobsOnly)
 {
     auto call = makeSubmission();
